--- /dev/null
+++ b/cmake/asio_prelude.hpp
@@ -0,0 +1,7 @@
+// Boost.Asio 1.74 uses std::exchange and coroutine support without including their headers.
+#include <coroutine>
+#include <utility>
+#ifdef __clang__
+#define BOOST_ASIO_HAS_CO_AWAIT 1
+#define BOOST_ASIO_HAS_STD_COROUTINE 1
+#endif
--- /dev/null
+++ b/packages/decision/include/camphorknot/configuration/objects.hpp
@@ -0,0 +1,123 @@
+/// @file
+/// The objects of a configuration. Names are unique per kind; identifiers are hashes of names (see make_id).
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "camphorknot/core.hpp"
+#include "camphorknot/messages.hpp"
+
+namespace camphorknot {
+
+struct region_object {
+    std::string name;
+};
+
+struct failure_domain_object {
+    std::string name;
+    std::string region;
+};
+
+/// An instance that owns an allocation of every budget. Its id is make_id<instance_id>(peer_address).
+struct instance_object {
+    std::string peer_address;
+    std::string region;
+    std::string failure_domain;
+};
+
+struct route_object {
+    std::string name;
+    std::string method;      ///< Upper-case HTTP method.
+    std::string path_prefix; ///< Begins with "/<service>/".
+    bool idempotent = true;
+    bool can_wait =
+        false; ///< Uses only headroom above the service's reserve until half of its deadline has passed.
+    bool open = false; ///< Runs without a key.
+    std::int64_t timeout_ms = 10'000;
+    std::int64_t body_limit_kb = 65'536;
+};
+
+struct service_object {
+    std::string name;
+    std::vector<route_object> routes;
+    std::string active_version;
+    std::uint32_t reserve_percent = 10; ///< Headroom that work that can wait leaves free.
+    std::uint32_t shift_cap_percent_per_second =
+        10; ///< Growth of a region's load, in percent of its capacity.
+};
+
+struct customer_object {
+    std::string name;
+    std::int64_t rate_per_second = 0;
+    std::int64_t burst = 0;
+};
+
+/// A key, kept only as a keyed hash.
+struct key_object {
+    key_hash hash{};
+    std::string customer;
+    std::string label; ///< Shown to operators in place of the key.
+};
+
+struct target_object {
+    std::string address; ///< "ip:port".
+    std::string service;
+    std::string version;
+    std::string region;
+    std::string failure_domain;
+    std::uint32_t slots = 1;
+};
+
+/// Highest load that steering may put on a region for one service.
+struct region_limit_object {
+    std::string service;
+    std::string region;
+    std::uint32_t max_in_flight = 0;
+};
+
+struct link_object {
+    std::string from_region;
+    std::string to_region;
+    std::int64_t kilobytes_per_second = 0;
+};
+
+enum class move_kind : std::uint8_t { drain, rollout, withdrawal };
+enum class deadline_action : std::uint8_t { roll_back, finish };
+
+/// A planned move with a deadline.
+struct move_object {
+    std::string name;
+    move_kind kind = move_kind::drain;
+    std::string service;
+    std::string version;              ///< New version of a rollout, or the version withdrawn.
+    std::vector<std::string> targets; ///< Addresses of the targets that a drain empties.
+    unix_milliseconds deadline = 0;
+    deadline_action on_deadline = deadline_action::roll_back;
+    std::int64_t soak_seconds = 10; ///< Time at 100% before a rollout is done.
+};
+
+/// Maps a block of client addresses to sites in order of preference.
+struct block_object {
+    std::uint32_t network = 0; ///< IPv4, host byte order.
+    std::uint8_t prefix_length = 24;
+    std::string site_set;
+};
+
+struct site_set_object {
+    struct weighted_site {
+        std::string failure_domain; ///< A site is the part of a failure domain that serves.
+        std::uint32_t weight = 1;
+    };
+    std::string name;
+    std::vector<weighted_site> sites;
+};
+
+using configuration_object =
+    std::variant<region_object, failure_domain_object, instance_object, service_object, customer_object,
+                 key_object, target_object, region_limit_object, link_object, move_object, block_object,
+                 site_set_object>;
+
+} // namespace camphorknot
--- /dev/null
+++ b/packages/decision/include/camphorknot/configuration/store.hpp
@@ -0,0 +1,107 @@
+/// @file
+/// The configuration in force at one instance: versions, changes and validation.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "camphorknot/configuration/objects.hpp"
+
+namespace camphorknot {
+
+enum class object_kind : std::uint8_t {
+    region,
+    failure_domain,
+    instance,
+    service,
+    customer,
+    key,
+    target,
+    region_limit,
+    link,
+    move,
+    block,
+    site_set,
+};
+
+/// Kind and unique name of an object; the name of a key is its hash in hexadecimal, of a limit
+/// "service/region".
+struct object_key {
+    object_kind kind{};
+    std::string name;
+    friend auto operator<=>(const object_key&, const object_key&) = default;
+};
+
+/// @return the kind and name of @p object.
+object_key key_of(const configuration_object& object);
+
+/// One accepted change: from version - 1 to version.
+struct configuration_change {
+    std::uint64_t version = 0;
+    std::vector<configuration_object> upserts;
+    std::vector<object_key> removals;
+};
+
+enum class change_error : std::uint8_t {
+    none,
+    malformed_text,
+    version_gap,       ///< Changes in between are missing.
+    version_older,     ///< Not above the version in force; ignored.
+    unknown_reference, ///< An object names another one that does not exist.
+    value_out_of_range,
+    name_collision,
+    route_conflict,
+};
+
+/// An object that validation refuses.
+struct change_problem {
+    change_error error = change_error::none;
+    object_key object;
+    std::string field;
+    std::string seen;    ///< Value seen.
+    std::string allowed; ///< What is allowed.
+};
+
+/// All objects at one version.
+struct configuration {
+    std::uint64_t version = 0;
+    std::map<object_key, configuration_object> objects;
+};
+
+/// @return every problem that @p change would have on top of @p base; empty if it is acceptable.
+std::vector<change_problem> validate(const configuration& base, const configuration_change& change);
+
+/// Applies the next change. @return none, version_older or version_gap; nothing is changed on an error.
+change_error apply_change(configuration& current, const configuration_change& change);
+
+/// @return the change that turns @p from into @p to, with version from.version + 1.
+configuration_change diff(const configuration& from, const configuration& to);
+
+/// @return JSON of @p change, as stored in the table and sent to peers.
+std::string encode_change(const configuration_change& change);
+
+/// @return the change in @p text, or nothing if it is malformed.
+std::optional<configuration_change> decode_change(std::string_view text);
+
+/// @return JSON of all objects, as stored in the object store.
+std::string encode_snapshot(const configuration& value);
+std::optional<configuration> decode_snapshot(std::string_view text);
+
+/// @return the objects of type @p Object, in the order of their names.
+template <typename Object>
+std::vector<Object> objects_of(const configuration& value)
+{
+    std::vector<Object> found;
+    for (const auto& [key, object] : value.objects) {
+        if (const auto* match = std::get_if<Object>(&object)) {
+            found.push_back(*match);
+        }
+    }
+    return found;
+}
+
+} // namespace camphorknot
