Add configuration objects' encoding, validation, changes and diff

The distribution, the node and the operator client need one definition of what a configuration change is, how it is stored, and when it is refused.

The library's own number conversion was ruled out for decoding: it wraps -1 to a high unsigned limit. Validation looks at the change through a view on top of the present objects; copying a configuration of 140,000 blocks for each change was ruled out. Names whose 64-bit identifiers collide, duplicate names, references to objects that do not exist after the change, values out of range and two routes with one method and path prefix are refused with a typed problem that says what is allowed. Route identifiers cover the service's name, since two services may have routes of one name.

--- a/packages/decision/include/camphorknot/configuration/objects.hpp
+++ b/packages/decision/include/camphorknot/configuration/objects.hpp
@@ -14,11 +14,13 @@
 
 struct region_object {
     std::string name;
+    friend bool operator==(const region_object&, const region_object&) = default;
 };
 
 struct failure_domain_object {
     std::string name;
     std::string region;
+    friend bool operator==(const failure_domain_object&, const failure_domain_object&) = default;
 };
 
 /// An instance that owns an allocation of every budget. Its id is make_id<instance_id>(peer_address).
@@ -26,6 +28,7 @@
     std::string peer_address;
     std::string region;
     std::string failure_domain;
+    friend bool operator==(const instance_object&, const instance_object&) = default;
 };
 
 struct route_object {
@@ -38,6 +41,7 @@
     bool open = false; ///< Runs without a key.
     std::int64_t timeout_ms = 10'000;
     std::int64_t body_limit_kb = 65'536;
+    friend bool operator==(const route_object&, const route_object&) = default;
 };
 
 struct service_object {
@@ -47,12 +51,14 @@
     std::uint32_t reserve_percent = 10; ///< Headroom that work that can wait leaves free.
     std::uint32_t shift_cap_percent_per_second =
         10; ///< Growth of a region's load, in percent of its capacity.
+    friend bool operator==(const service_object&, const service_object&) = default;
 };
 
 struct customer_object {
     std::string name;
     std::int64_t rate_per_second = 0;
     std::int64_t burst = 0;
+    friend bool operator==(const customer_object&, const customer_object&) = default;
 };
 
 /// A key, kept only as a keyed hash.
@@ -60,6 +66,7 @@
     key_hash hash{};
     std::string customer;
     std::string label; ///< Shown to operators in place of the key.
+    friend bool operator==(const key_object&, const key_object&) = default;
 };
 
 struct target_object {
@@ -69,6 +76,7 @@
     std::string region;
     std::string failure_domain;
     std::uint32_t slots = 1;
+    friend bool operator==(const target_object&, const target_object&) = default;
 };
 
 /// Highest load that steering may put on a region for one service.
@@ -76,12 +84,14 @@
     std::string service;
     std::string region;
     std::uint32_t max_in_flight = 0;
+    friend bool operator==(const region_limit_object&, const region_limit_object&) = default;
 };
 
 struct link_object {
     std::string from_region;
     std::string to_region;
     std::int64_t kilobytes_per_second = 0;
+    friend bool operator==(const link_object&, const link_object&) = default;
 };
 
 enum class move_kind : std::uint8_t { drain, rollout, withdrawal };
@@ -97,6 +107,7 @@
     unix_milliseconds deadline = 0;
     deadline_action on_deadline = deadline_action::roll_back;
     std::int64_t soak_seconds = 10; ///< Time at 100% before a rollout is done.
+    friend bool operator==(const move_object&, const move_object&) = default;
 };
 
 /// Maps a block of client addresses to sites in order of preference.
@@ -104,15 +115,18 @@
     std::uint32_t network = 0; ///< IPv4, host byte order.
     std::uint8_t prefix_length = 24;
     std::string site_set;
+    friend bool operator==(const block_object&, const block_object&) = default;
 };
 
 struct site_set_object {
     struct weighted_site {
         std::string failure_domain; ///< A site is the part of a failure domain that serves.
         std::uint32_t weight = 1;
+        friend bool operator==(const weighted_site&, const weighted_site&) = default;
     };
     std::string name;
     std::vector<weighted_site> sites;
+    friend bool operator==(const site_set_object&, const site_set_object&) = default;
 };
 
 using configuration_object =
--- a/packages/decision/include/camphorknot/configuration/store.hpp
+++ b/packages/decision/include/camphorknot/configuration/store.hpp
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "camphorknot/configuration/objects.hpp"
@@ -28,17 +29,37 @@
     site_set,
 };
 
+/// @return the stable name of @p kind, as in the encoded text and on the command line.
+std::string_view name_of(object_kind kind);
+/// @return the kind called @p name, or nothing.
+std::optional<object_kind> kind_named(std::string_view name);
+
 /// Kind and unique name of an object; the name of a key is its hash in hexadecimal, of a limit
-/// "service/region".
+/// "service/region", of a link "from/to", of a block "a.b.c.d/length".
 struct object_key {
     object_kind kind{};
     std::string name;
-    friend auto operator<=>(const object_key&, const object_key&) = default;
+    friend bool operator==(const object_key&, const object_key&) = default;
+    friend bool operator<(const object_key& a, const object_key& b)
+    {
+        return std::tie(a.kind, a.name) < std::tie(b.kind, b.name);
+    }
 };
 
 /// @return the kind and name of @p object.
 object_key key_of(const configuration_object& object);
 
+/// @return @p hash in lower-case hexadecimal.
+std::string hex_of(const key_hash& hash);
+/// @return the hash in @p text, or nothing unless it is 64 hexadecimal digits.
+std::optional<key_hash> key_hash_in(std::string_view text);
+
+/// @return the block as "a.b.c.d/length".
+std::string text_of(const block_object& block);
+/// @return the block in "a.b.c.d/length", without a site set, or nothing if @p text is not of that form.
+/// Host bits are kept, so that validation can name them.
+std::optional<block_object> block_in(std::string_view text);
+
 /// One accepted change: from version - 1 to version.
 struct configuration_change {
     std::uint64_t version = 0;
@@ -57,6 +78,13 @@
     route_conflict,
 };
 
+/// @return the identifier of a route. It covers the service's name, since routes of two services may share a
+/// name.
+route_id route_id_of(std::string_view service, std::string_view route);
+
+/// @return the stable name of @p error, as in the admin interface.
+std::string_view name_of(change_error error);
+
 /// An object that validation refuses.
 struct change_problem {
     change_error error = change_error::none;
@@ -89,6 +117,7 @@
 
 /// @return JSON of all objects, as stored in the object store.
 std::string encode_snapshot(const configuration& value);
+/// @return the configuration in @p text, or nothing if it is malformed or names an object twice.
 std::optional<configuration> decode_snapshot(std::string_view text);
 
 /// @return the objects of type @p Object, in the order of their names.
