decision/keys: table from key hashes to customers

Cause: admission needs the customer of a key on every request, while keys are issued and revoked as traffic runs. Ruled out: one sorted vector, since a change would copy all keys; a hash map, since readers would need a lock. A revocation is kept for a key that is not known yet and still holds when the key is added.

--- a/packages/decision/include/camphorknot/keys.hpp
+++ b/packages/decision/include/camphorknot/keys.hpp
@@ -7,12 +7,10 @@
 
 #include "camphorknot/configuration.hpp"
 #include "camphorknot/core.hpp"
+#include "camphorknot/keys/key_table.hpp"
 
 namespace camphorknot {
 
-/// Immutable-by-copy table from key hashes to customers.
-struct key_table;
-
 enum class key_status : std::uint8_t { valid, unknown, revoked };
 
 struct key_answer {
@@ -20,7 +18,7 @@
     customer_id customer; ///< Set if valid.
 };
 
-/// @return a table of @p keys.
+/// @return a table of @p keys; the last of two equal hashes counts.
 key_table make_key_table(std::span<const key_object> keys);
 
 /// Adds or replaces one key. A revocation that was learned before the key still holds.
