decision/operations: tickets and at-most-once records

Ruled out: half of the sequence from the nonce and half counted, since two issuers with equal halves would repeat each other's numbers; mixing the whole nonce with the count is one-to-one per issuer and spreads issuers over 64 bits. Change: canonical ticket text, epochs counted by the executing process, records that outlive the acceptance of their ticket by the longest request. A running record is never dropped. An expired ticket without a record says not_run only while a record of it would still exist, and unknown after that. Recorded bodies are bounded per answer and in total; operation_begin has body_complete, operation_settings has body_limit and body_memory_limit. Conclusion: one process decides alone and without table writes whether an operation ran.

--- a/packages/decision/include/camphorknot/operations.hpp
+++ b/packages/decision/include/camphorknot/operations.hpp
@@ -10,16 +10,23 @@
 #include <string_view>
 
 #include "camphorknot/core.hpp"
+#include "camphorknot/operations/operation_ledger.hpp"
 
 namespace camphorknot {
 
 /// Names the one process that may run a request. Travels as text: fields in hexadecimal and a keyed hash.
+///
+/// @code
+/// ticket issued = issue_ticket(ledger, executing, nonce, epoch, customer, route);
+/// std::string text = format_ticket(issued, mac_of(ticket_fields(issued)));
+/// @endcode
 struct ticket {
     instance_id instance;
     std::uint64_t process_nonce = 0;
     std::uint64_t epoch = 0;
-    std::uint64_t sequence = 0; ///< Unique per issuing process: half from its nonce, half counted.
-    customer_id customer;       ///< A ticket works only with a key of the customer that asked for it.
+    std::uint64_t sequence =
+        0;                ///< The issuer's nonce mixed with a count; differs for each ticket of a process.
+    customer_id customer; ///< A ticket works only with a key of the customer that asked for it.
     route_id route;
 };
 
@@ -40,17 +47,6 @@
 /// @return the fields of @p text, or nothing if it is malformed. The caller compares the keyed hash.
 std::optional<parsed_ticket> parse_ticket(std::string_view text);
 
-struct operation_settings {
-    instance_id self;
-    std::uint64_t process_nonce = 0;
-    duration epoch_length = std::chrono::seconds(30);
-    duration longest_request = std::chrono::seconds(120);
-    std::size_t record_limit = 200'000; ///< A new operation beyond it is refused with instance_busy.
-};
-
-/// Records of one executing process.
-struct operation_ledger;
-
 enum class operation_step : std::uint8_t {
     run,     ///< The caller of begin_operation must run it and call finish_operation exactly once.
     join,    ///< It is running; wait for its end.
@@ -64,6 +60,7 @@
     outcome ended = outcome::not_run; ///< Set if repeat.
     std::uint16_t answer_status = 0;  ///< Set if repeat and ran.
     std::string answer_body;          ///< Set if repeat and ran, up to the recorded limit.
+    bool body_complete = false;       ///< Whether answer_body is the whole body.
 };
 
 operation_ledger make_operation_ledger(const operation_settings& settings, time_point now);
@@ -75,7 +72,8 @@
 ticket issue_ticket(operation_ledger& issuer, instance_id executing, std::uint64_t process_nonce,
                     std::uint64_t epoch, customer_id customer, route_id route);
 
-/// First or repeated presentation of a ticket whose keyed hash was found right.
+/// First or repeated presentation of a ticket whose keyed hash was found right. A refusal says not_run only
+/// if no record of the ticket can have existed here.
 operation_begin begin_operation(operation_ledger& ledger, const ticket& shown, customer_id customer,
                                 route_id route, time_point now);
 
