Make moves' progress and allocation owners configuration objects

Cause: every instance has to learn a move's share and the owner of an allocation, in order and never back; a table row for each would have needed polling by all instances or a second way of spreading. Ruled out: rows move/<name> and budget/owners next to the configuration. Change: two object kinds; the conditional write of config/head covers them. Conclusion: one mechanism carries all agreed state; the operators' conditional version has to allow for changes that only touch these kinds.

--- a/packages/decision/include/camphorknot/configuration/objects.hpp
+++ b/packages/decision/include/camphorknot/configuration/objects.hpp
@@ -129,9 +129,29 @@
     friend bool operator==(const site_set_object&, const site_set_object&) = default;
 };
 
+/// How far a move has come, written by the holder of the move's lease. It is part of the configuration, so
+/// that it reaches every instance the same way, never goes back, and needs no table row of its own.
+struct move_progress_object {
+    std::string move;
+    std::string stage = "waiting"; ///< Name of a move_stage.
+    std::uint32_t share_percent = 0;
+    std::uint32_t step = 0;
+    std::string reason = "none"; ///< Name of a move_reason.
+    std::uint64_t fencing_token = 0;
+    friend bool operator==(const move_progress_object&, const move_progress_object&) = default;
+};
+
+/// The allocation of the instance listed as @c slot belongs to @c owner, since the process at @c slot was
+/// proved stopped, until that instance takes it back.
+struct allocation_object {
+    std::string slot;  ///< peer_address of an instance_object.
+    std::string owner; ///< peer_address of the owner.
+    friend bool operator==(const allocation_object&, const allocation_object&) = default;
+};
+
 using configuration_object =
     std::variant<region_object, failure_domain_object, instance_object, service_object, customer_object,
                  key_object, target_object, region_limit_object, link_object, move_object, block_object,
-                 site_set_object>;
+                 site_set_object, move_progress_object, allocation_object>;
 
 } // namespace camphorknot
--- a/packages/decision/include/camphorknot/configuration/store.hpp
+++ b/packages/decision/include/camphorknot/configuration/store.hpp
@@ -27,6 +27,8 @@
     move,
     block,
     site_set,
+    move_progress,
+    allocation,
 };
 
 /// @return the stable name of @p kind, as in the encoded text and on the command line.
--- a/packages/decision/src/configuration/names.cpp
+++ b/packages/decision/src/configuration/names.cpp
@@ -7,9 +7,9 @@
 namespace {
 
 // In the order of object_kind.
-constexpr std::array<std::string_view, 12> kind_names = {
-    "region", "failure_domain", "instance", "service", "customer", "key",
-    "target", "region_limit",   "link",     "move",    "block",    "site_set"};
+constexpr std::array<std::string_view, 14> kind_names = {
+    "region",       "failure_domain", "instance", "service", "customer", "key",           "target",
+    "region_limit", "link",           "move",     "block",   "site_set", "move_progress", "allocation"};
 
 struct name_visitor {
     std::string operator()(const instance_object& object) const { return object.peer_address; }
@@ -24,6 +24,8 @@
     {
         return object.from_region + "/" + object.to_region;
     }
+    std::string operator()(const move_progress_object& object) const { return object.move; }
+    std::string operator()(const allocation_object& object) const { return object.slot; }
     template <typename Object>
     std::string operator()(const Object& object) const
     {
--- a/packages/decision/src/configuration/object_fields.hpp
+++ b/packages/decision/src/configuration/object_fields.hpp
@@ -77,6 +77,16 @@
     } else if constexpr (same_object<Object, site_set_object::weighted_site>) {
         visit("failure_domain", object.failure_domain);
         visit("weight", object.weight);
+    } else if constexpr (same_object<Object, move_progress_object>) {
+        visit("move", object.move);
+        visit("stage", object.stage);
+        visit("share_percent", object.share_percent);
+        visit("step", object.step);
+        visit("reason", object.reason);
+        visit("fencing_token", object.fencing_token);
+    } else if constexpr (same_object<Object, allocation_object>) {
+        visit("slot", object.slot);
+        visit("owner", object.owner);
     } else {
         static_assert(same_object<Object, site_set_object>);
         visit("name", object.name);
--- a/packages/decision/src/configuration/references.cpp
+++ b/packages/decision/src/configuration/references.cpp
@@ -55,6 +55,14 @@
         exists(object_kind::service, "service", object.service);
         exists(object_kind::region, "region", object.region);
     }
+    void operator()(const move_progress_object& object) const
+    {
+        exists(object_kind::move, "move", object.move);
+    }
+    void operator()(const allocation_object& object) const
+    {
+        exists(object_kind::instance, "slot", object.slot);
+    }
     void operator()(const link_object& object) const
     {
         exists(object_kind::region, "from_region", object.from_region);
--- a/packages/decision/src/configuration/values.cpp
+++ b/packages/decision/src/configuration/values.cpp
@@ -121,6 +121,12 @@
         }
     }
 
+    void operator()(const move_progress_object& object) const
+    {
+        range("share_percent", object.share_percent, 0, 100);
+    }
+    void operator()(const allocation_object&) const {}
+
     void operator()(const service_object& object) const;
     void operator()(const move_object& object) const;
     void operator()(const site_set_object& object) const;
