decision/membership: gossip, probes, fencing and authority

Cause: the daemon needs membership, facts and authority before it can serve keyed requests.

Change: first complete version of the module. Recent changes spread by gossip with digests of records and facts; full exchange when the digests differ for 5 s. Three instances chosen by rendezvous collect the acknowledgements of a fence; a proof spreads as the record state `left`.

An instance gives contact, and counts it, only while it is settled: its facts have equalled those of settled instances of a majority of regions since its authority last lapsed. An acknowledgement with region zero says that the instance lives but gives no contact, so that joining instances are not suspected. A region counts as closed to a fenced incarnation only when every instance there that is not proved stopped has acknowledged, fenced ones included: a fenced live instance could otherwise still give contact.

Configuration versions and ticket epochs do not spread as records. They come with ping_ack and gossip from the instance itself, and epochs advance by their length between contacts. Records carry no revision, so the authority hint is only raised by gossip and lowered by direct contact.

Messages: ping_ack gains ticket_epoch, gossip gains settled. live_members returns a reference to a cache. The linter reads the zero in defaulted comparisons as a null pointer; two lines are marked for it.

--- a/packages/decision/include/camphorknot/core/ids.hpp
+++ b/packages/decision/include/camphorknot/core/ids.hpp
@@ -19,7 +19,8 @@
 template <typename Tag>
 struct strong_id {
     std::uint64_t value = 0;
-    friend constexpr auto operator<=>(strong_id, strong_id) = default;
+    // The linter takes the zero in rewritten comparisons for a null pointer.
+    friend constexpr auto operator<=>(strong_id, strong_id) = default; // NOLINT(modernize-use-nullptr)
 };
 
 using instance_id = strong_id<struct instance_tag>; ///< Hash of the instance's peer address, "ip:port".
--- a/packages/decision/include/camphorknot/membership.hpp
+++ b/packages/decision/include/camphorknot/membership.hpp
@@ -5,68 +5,14 @@
 
 #include <optional>
 #include <span>
-#include <variant>
 #include <vector>
 
 #include "camphorknot/core.hpp"
+#include "camphorknot/membership/state.hpp"
 #include "camphorknot/messages.hpp"
 
 namespace camphorknot {
 
-struct membership_settings {
-    member_record self;
-    std::vector<region_id> regions; ///< All regions of the configuration; authority needs a majority of them.
-    std::uint64_t seed = 0;
-    duration authority_term = std::chrono::seconds(3);
-    duration suspicion_term = std::chrono::seconds(2);
-    duration gossip_period = std::chrono::milliseconds(200);
-    duration ping_period = std::chrono::milliseconds(500);
-};
-
-enum class membership_error : std::uint8_t { none, no_regions, self_region_unknown, term_not_positive };
-
-/// An instance that the platform's lagging list or the settings name; a hint on whom to contact.
-struct instance_contact {
-    instance_id instance;
-    region_id region;
-    failure_domain_id failure_domain;
-    std::string peer_address;
-};
-
-struct member_joined {
-    member_record record;
-};
-/// The incarnation can no longer act with authority: it left, was fenced long enough, or was replaced at its
-/// address.
-struct proved_stopped {
-    instance_id instance;
-    incarnation number = 0;
-    bool replaced = false; ///< A newer process is bound to the same address.
-};
-struct fact_learned {
-    fact learned;
-};
-/// This process was fenced and took the incarnation @c number.
-struct self_renumbered {
-    incarnation number = 0;
-};
-/// A peer has a higher configuration version than this instance.
-struct newer_configuration_seen {
-    instance_id peer;
-    std::uint64_t version = 0;
-};
-using membership_event =
-    std::variant<member_joined, proved_stopped, fact_learned, self_renumbered, newer_configuration_seen>;
-
-/// State of membership in one instance.
-///
-/// @code
-/// auto members = make_membership(settings, now);
-/// tick(*members, now, out);
-/// bool may_serve = has_authority(*members, now);
-/// @endcode
-struct membership;
-
 /// @return state that knows only itself, or the reason why @p settings are refused.
 result<membership, membership_error> make_membership(const membership_settings& settings, time_point now);
 
@@ -100,8 +46,9 @@
 /// @return whether the fact is known.
 bool knows_fact(const membership& members, const fact& value);
 
-/// @return all members but those that left or were fenced, this instance included, ordered by id.
-std::vector<member_record> live_members(const membership& members);
+/// @return all members but those that left or were fenced, this instance included, ordered by id. Cached: the
+/// reference holds until the next call that changes @p members.
+const std::vector<member_record>& live_members(const membership& members);
 
 /// @return the live instance of @p region, or of all regions if absent, with the highest rendezvous hash for
 /// @p key.
--- a/packages/decision/include/camphorknot/messages.hpp
+++ b/packages/decision/include/camphorknot/messages.hpp
@@ -53,7 +53,8 @@
     std::uint64_t detail =
         0; ///< incarnation for incarnation_fenced and instance_leaving; service_id for version_stopped.
     key_hash key{}; ///< Only for key_revoked.
-    friend auto operator<=>(const fact&, const fact&) = default;
+    // The linter takes the zero in rewritten comparisons for a null pointer.
+    friend auto operator<=>(const fact&, const fact&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// Direct probe; the sender counts its authority from the time it sent this.
@@ -63,10 +64,11 @@
 
 struct ping_ack {
     std::uint64_t sequence = 0;
-    region_id region; ///< Region of the instance that answers.
+    region_id region; ///< Region of the instance that answers; zero: it lives, but gives no contact.
     incarnation fenced_number =
         0; ///< Highest fenced incarnation known for the receiver's address; 0 for none.
     std::uint64_t configuration_version = 0;
+    std::uint64_t ticket_epoch = 0; ///< Of the instance that answers.
 };
 
 /// Asks the receiver to probe @c subject for the sender.
@@ -85,6 +87,7 @@
     duration reader_age{};  ///< Time since a table reader last confirmed the configuration version.
     bool wants_all = false; ///< Asks for the full state, when digests have differed for long.
     bool is_reply = false;
+    bool settled = false; ///< The sender has pulled the facts of a majority of regions (section 2.9).
 };
 
 struct change_request {
--- /dev/null
+++ b/packages/decision/src/membership/gossip.cpp
@@ -0,0 +1,291 @@
+#include <algorithm>
+#include <bit>
+
+#include "parts.hpp"
+
+namespace camphorknot::internal {
+namespace {
+
+// Most changes in one message, so that its size does not grow with the fleet.
+constexpr std::size_t records_per_message = 64;
+constexpr std::size_t facts_per_message = 256;
+// Records in one message of a full pull; keeps it under the frame limit of 256 KiB.
+constexpr std::size_t records_per_pull_message = 1000;
+constexpr std::size_t facts_per_pull_message = 2000;
+// A change is sent this many times plus the logarithm of the fleet's size, as in SWIM.
+constexpr unsigned extra_sends = 3;
+constexpr duration far_gossip_period = std::chrono::seconds(1);
+constexpr duration quiet_gossip_period = std::chrono::seconds(1);
+constexpr duration pull_period = std::chrono::seconds(1);
+constexpr duration digests_differ_limit = std::chrono::seconds(5);
+constexpr duration recent_join_term = std::chrono::seconds(10);
+constexpr int far_peers_when_unsettled = 2;
+
+unsigned send_limit(const membership& members)
+{
+    return extra_sends + static_cast<unsigned>(std::bit_width(members.members.size()));
+}
+
+member_record spread_form(const membership& members, instance_id instance)
+{
+    if (instance == members.settings.self.instance) {
+        return members.settings.self;
+    }
+    return members.members.at(instance).record;
+}
+
+// Takes the least sent rumors and counts this sending.
+template <typename Key>
+std::vector<Key> take_rumors(std::map<Key, unsigned>& rumors, std::size_t most, unsigned limit)
+{
+    std::vector<std::pair<unsigned, Key>> order;
+    order.reserve(rumors.size());
+    for (const auto& [key, sent] : rumors) {
+        order.emplace_back(sent, key);
+    }
+    if (order.size() > most) {
+        std::nth_element(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(most), order.end());
+        order.resize(most);
+    }
+    std::vector<Key> taken;
+    taken.reserve(order.size());
+    for (const auto& [sent, key] : order) {
+        taken.push_back(key);
+        if (sent + 1 >= limit) {
+            rumors.erase(key);
+        } else {
+            rumors[key] = sent + 1;
+        }
+    }
+    return taken;
+}
+
+gossip digest_message(const membership& members)
+{
+    gossip body;
+    body.records_digest = members.records_digest;
+    body.facts_digest = members.facts_digest;
+    body.configuration_version = members.settings.self.configuration_version;
+    body.settled = members.settled;
+    return body;
+}
+
+gossip recent_changes(membership& members)
+{
+    gossip body = digest_message(members);
+    const unsigned limit = send_limit(members);
+    for (const instance_id instance : take_rumors(members.record_rumors, records_per_message, limit)) {
+        body.records.push_back(spread_form(members, instance));
+    }
+    body.facts = take_rumors(members.fact_rumors, facts_per_message, limit);
+    return body;
+}
+
+void send_recent_changes(membership& members, instance_id to, outbox& out)
+{
+    gossip body = recent_changes(members);
+    // Until it is settled this instance names itself to every peer it hears from: a fencing peer that asks
+    // one of them for acknowledgements then learns of it.
+    const instance_id self = members.settings.self.instance;
+    const auto is_self = [&](const member_record& record) { return record.instance == self; };
+    if (!members.settled && std::none_of(body.records.begin(), body.records.end(), is_self)) {
+        body.records.push_back(members.settings.self);
+    }
+    send(members, to, std::move(body), out);
+}
+
+void send_all(membership& members, instance_id to, outbox& out)
+{
+    ++members.counters.full_pulls;
+    gossip body = digest_message(members);
+    body.is_reply = true;
+    body.records.push_back(members.settings.self);
+    auto next_fact = members.facts.begin();
+    auto next_member = members.members.begin();
+    while (true) {
+        while (next_member != members.members.end() && body.records.size() < records_per_pull_message) {
+            if (next_member->second.known) {
+                body.records.push_back(next_member->second.record);
+            }
+            ++next_member;
+        }
+        while (next_fact != members.facts.end() && body.facts.size() < facts_per_pull_message) {
+            body.facts.push_back(*next_fact++);
+        }
+        send(members, to, body, out);
+        if (next_member == members.members.end() && next_fact == members.facts.end()) {
+            return;
+        }
+        body.records.clear();
+        body.facts.clear();
+    }
+}
+
+// A contact that no record is known of yet, or nothing.
+std::optional<instance_id> random_unknown_contact(membership& members)
+{
+    std::vector<instance_id> contacts;
+    for (const auto& [instance, entry] : members.members) {
+        if (!entry.known) {
+            contacts.push_back(instance);
+        }
+    }
+    if (contacts.empty()) {
+        return std::nullopt;
+    }
+    return contacts[uniform(members.random, contacts.size())];
+}
+
+void pull_all(membership& members, instance_id from, time_point now, outbox& out)
+{
+    members.next_pull = now + pull_period;
+    gossip body = digest_message(members);
+    body.wants_all = true;
+    body.records.push_back(members.settings.self);
+    send(members, from, std::move(body), out);
+}
+
+std::optional<instance_id> random_far_peer(membership& members)
+{
+    const auto region = random_far_region(members);
+    return region ? random_peer(members, *region) : std::nullopt;
+}
+
+void join_more(membership& members, time_point now, outbox& out)
+{
+    if (!members.pulled_all && now >= members.next_pull) {
+        auto from = random_unknown_contact(members);
+        if (!from || uniform(members.random, 2) == 0) {
+            const auto near = random_peer(members, members.settings.self.region);
+            const auto far = random_far_peer(members);
+            from = near ? near : far ? far : from;
+        }
+        if (from) {
+            pull_all(members, *from, now, out);
+        }
+    }
+    for (int i = 0; i < far_peers_when_unsettled; ++i) {
+        if (const auto peer = random_far_peer(members)) {
+            send_recent_changes(members, *peer, out);
+        }
+    }
+}
+
+void note_digests(membership& members, const envelope& message, const gossip& body, time_point now)
+{
+    const bool same_facts = body.facts_digest == members.facts_digest;
+    const bool same_records = body.records_digest == members.records_digest;
+    const auto sender = members.members.find(message.from);
+    const bool sender_current = sender != members.members.end() && is_live(sender->second) &&
+                                sender->second.record.number == message.from_number;
+    if (body.settled && sender_current) {
+        members.heard_settled = now;
+    }
+    if (same_facts && sender_current) {
+        region_contact& contact = members.regions[sender->second.record.region];
+        contact.any_peer = now;
+        if (body.settled) {
+            contact.settled_peer = now;
+        }
+    }
+    if (same_facts && same_records) {
+        members.pulled_all = true;
+        members.digests_differ_since.reset();
+    } else if (!members.digests_differ_since) {
+        members.digests_differ_since = now;
+    }
+}
+
+} // namespace
+
+void tick_gossip(membership& members, time_point now, outbox& out)
+{
+    if (now < members.next_gossip) {
+        return;
+    }
+    members.next_gossip = now + members.settings.gossip_period;
+    const bool fresh = !members.record_rumors.empty() || !members.fact_rumors.empty();
+    if (fresh || !members.settled || now >= members.next_near_digest) {
+        members.next_near_digest = now + quiet_gossip_period;
+        if (const auto peer = random_peer(members, members.settings.self.region)) {
+            send_recent_changes(members, *peer, out);
+        }
+    }
+    if (!members.fact_rumors.empty() || now >= members.next_far_gossip) {
+        members.next_far_gossip = now + far_gossip_period;
+        if (const auto peer = random_far_peer(members)) {
+            send_recent_changes(members, *peer, out);
+        }
+        if (const auto contact = random_unknown_contact(members)) {
+            send_recent_changes(members, *contact, out);
+        }
+    }
+    if (!members.settled) {
+        join_more(members, now, out);
+    }
+}
+
+void on_gossip(membership& members, const envelope& message, const gossip& body, time_point now, outbox& out)
+{
+    for (const fact& value : body.facts) {
+        learn_fact(members, value, true, now);
+    }
+    for (const member_record& record : body.records) {
+        merge_record(members, record, now);
+    }
+    note_version(members, message.from, body.configuration_version, now);
+    note_digests(members, message, body, now);
+    const auto sender = members.members.find(message.from);
+    if (sender != members.members.end() && sender->second.known &&
+        (message.from_number < sender->second.record.number || !is_live(sender->second))) {
+        correct_peer(members, message.from, out);
+    }
+    try_settle(members, now);
+    const bool same =
+        body.facts_digest == members.facts_digest && body.records_digest == members.records_digest;
+    if (body.wants_all) {
+        send_all(members, message.from, out);
+    } else if (!body.is_reply && (!same || !body.settled)) {
+        gossip reply = recent_changes(members);
+        reply.is_reply = true;
+        send(members, message.from, std::move(reply), out);
+    }
+    if (members.digests_differ_since && now - *members.digests_differ_since >= digests_differ_limit &&
+        now >= members.next_pull) {
+        members.digests_differ_since = now;
+        pull_all(members, message.from, now, out);
+        send_all(members, message.from, out);
+    }
+}
+
+void correct_peer(membership& members, instance_id peer, outbox& out)
+{
+    gossip body = digest_message(members);
+    body.is_reply = true;
+    const auto entry = members.members.find(peer);
+    if (entry != members.members.end() && entry->second.known) {
+        body.records.push_back(entry->second.record);
+    }
+    const auto fenced = members.fenced.find(peer);
+    if (fenced != members.fenced.end()) {
+        body.facts.push_back({fact_kind::incarnation_fenced, peer.value, fenced->second, {}});
+    }
+    send(members, peer, std::move(body), out);
+}
+
+void send_recent_joins(membership& members, instance_id to, time_point now, outbox& out)
+{
+    gossip body = digest_message(members);
+    body.is_reply = true;
+    for (const auto& [instance, entry] : members.members) {
+        if (is_live(entry) && now - entry.changed <= recent_join_term &&
+            body.records.size() < records_per_message) {
+            body.records.push_back(entry.record);
+        }
+    }
+    if (!body.records.empty()) {
+        send(members, to, std::move(body), out);
+    }
+}
+
+} // namespace camphorknot::internal
