--- a/packages/decision/include/camphorknot/core/ids.hpp
+++ b/packages/decision/include/camphorknot/core/ids.hpp
@@ -19,6 +19,8 @@
 template <typename Tag>
 struct strong_id {
     std::uint64_t value = 0;
+    // The check mistakes the zero that a rewritten comparison contains for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend constexpr auto operator<=>(strong_id, strong_id) = default;
 };
 
--- a/packages/decision/include/camphorknot/messages.hpp
+++ b/packages/decision/include/camphorknot/messages.hpp
@@ -154,17 +154,23 @@
         0; ///< Highest incarnation that the answering instance has seen at the address.
 };
 
-/// Outcome counts of one route and version in one time window.
+/// What the entries of rollout_counts sum up.
+enum class count_scope : std::uint8_t { instance, region, fleet };
+
+/// Outcome counts per route and version, cumulative for one step of a move.
 struct rollout_counts {
     struct entry {
         move_id move;
         route_id route;
-        version_id version;
-        std::uint32_t window = 0; ///< Counted from the start of the move's stage.
+        version_id version;       ///< The move's new version; zero for all others together.
+        std::uint32_t window = 0; ///< Step of the move.
         std::uint64_t requests = 0;
         std::uint64_t failures = 0;
-        std::uint64_t slow = 0; ///< Slower than the old version's p90 on the same route and size class.
+        std::uint64_t timed = 0; ///< Successes whose latency was compared.
+        std::uint64_t slow = 0;  ///< Slower than the old version's p90 on the same route and size class.
     };
+    count_scope scope = count_scope::instance;
+    region_id region; ///< Region summed up, for count_scope::region.
     std::vector<entry> entries;
 };
 
--- a/packages/decision/include/camphorknot/rollout.hpp
+++ b/packages/decision/include/camphorknot/rollout.hpp
@@ -1,5 +1,14 @@
 /// @file
 /// Rollouts judged by a sequential test and paced backwards from their deadline, and drains (section 2.8).
+///
+/// Counts are pooled in two steps. Each instance sends its own counts, cumulative for the move's present
+/// step, to one pooling instance of its region, chosen by rendezvous hash over the live members. Pooling
+/// instances exchange the sums of their regions and send the sum of the fleet to members of their region, at
+/// most eight a round. A lost, repeated or reordered message does no harm, as the receiver keeps the largest
+/// count of each sender and incarnation, and of each region. A round takes 250 ms for each 12 members of the
+/// region, or part of it. With 2,400 instances in 21 regions, 3 routes and one move, a message has about
+/// 350 B, a round takes 2.5 s, a member sends 0.14 KB/s, and a pooling instance receives 19 KB/s and sends
+/// 4 KB/s.
 #pragma once
 
 #include <optional>
@@ -9,36 +18,11 @@
 #include "camphorknot/configuration.hpp"
 #include "camphorknot/core.hpp"
 #include "camphorknot/messages.hpp"
+#include "camphorknot/rollout/move.hpp"
+#include "camphorknot/rollout/state.hpp"
 
 namespace camphorknot {
 
-enum class move_stage : std::uint8_t { waiting, running, soaking, done, rolled_back };
-enum class move_reason : std::uint8_t {
-    none,
-    version_failing,
-    version_slow,
-    deadline,
-    operator_request,
-    targets_idle,
-    cut_at_deadline
-};
-
-/// Durable state of a move: the table row "move/<name>".
-struct move_state {
-    move_id id;
-    move_stage stage = move_stage::waiting;
-    std::uint32_t share_percent = 0; ///< Share of the new version.
-    std::uint32_t step = 0;          ///< Index into the stages.
-    move_reason reason = move_reason::none;
-    std::uint64_t row_version = 0; ///< Version of the table row; a change is conditional on it.
-    std::uint64_t fencing_token = 0;
-};
-
-enum class verdict : std::uint8_t { undecided, good, bad_failing, bad_slow };
-
-/// Rollouts and drains of one instance: its counts, pooled counts, verdicts and shares.
-struct rollout_state;
-
 rollout_state make_rollout_state(instance_id self, std::uint64_t seed);
 
 /// Adds the move or takes over its newer durable state. A state with a lower row version is ignored.
--- /dev/null
+++ b/packages/decision/include/camphorknot/rollout/move.hpp
@@ -0,0 +1,35 @@
+/// @file
+/// Durable state of a move and the verdicts on a version.
+#pragma once
+
+#include <cstdint>
+
+#include "camphorknot/core.hpp"
+
+namespace camphorknot {
+
+enum class move_stage : std::uint8_t { waiting, running, soaking, done, rolled_back };
+enum class move_reason : std::uint8_t {
+    none,
+    version_failing,
+    version_slow,
+    deadline,
+    operator_request,
+    targets_idle,
+    cut_at_deadline
+};
+
+/// Durable state of a move: the table row "move/<name>".
+struct move_state {
+    move_id id{};
+    move_stage stage = move_stage::waiting;
+    std::uint32_t share_percent = 0; ///< Share of the new version.
+    std::uint32_t step = 0;          ///< Index into the stages.
+    move_reason reason = move_reason::none;
+    std::uint64_t row_version = 0; ///< Version of the table row; a change is conditional on it.
+    std::uint64_t fencing_token = 0;
+};
+
+enum class verdict : std::uint8_t { undecided, good, bad_failing, bad_slow };
+
+} // namespace camphorknot
