decision/tests: deterministic scheduler for randomised runs

Cause: how instances behave together under faults must be replayable from one seed, for any state machine. Ruled out: fault draws that depend on earlier faults, since leaving out one fault would change all draws after it. Change: a header-only scheduler, generic over the node type, with delay, loss, duplication, reordering, pause, kill and restart, drift of each instance's clock and region cuts. Conclusion: membership, budgets or a whole node can run on it.

--- /dev/null
+++ b/packages/decision/tests/support/scheduler.hpp
@@ -0,0 +1,295 @@
+/// @file
+/// Deterministic scheduler for randomised runs of several instances: an in-memory message queue with delay,
+/// loss, duplication, reordering, pauses, kills with restart, clock drift and region cuts, all from one seed.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <queue>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "camphorknot/core.hpp"
+#include "camphorknot/messages.hpp"
+#include "fault_plan.hpp"
+
+namespace camphorknot::test_support {
+
+/// What the scheduler does with an instance. Times are readings of the instance's own drifting clock.
+/// @tparam Node state of one instance; it must be movable.
+template <typename Node>
+struct node_functions {
+    std::function<Node(std::size_t index, incarnation number, time_point now)> make;
+    std::function<void(Node&, time_point now, outbox& out)> tick;
+    std::function<void(Node&, const envelope& message, time_point now, outbox& out)> on_message;
+    /// Names the mechanisms at work in the instance, for the count of faults that met them. Optional.
+    std::function<std::vector<std::string_view>(const Node&)> mechanisms;
+};
+
+/// Runs instances on one seeded schedule.
+///
+/// @code
+/// scheduler<membership> fleet(settings, functions);
+/// fleet.at(time_point(5s), [&] { fleet.kill(2, 3s); });
+/// fleet.run_until(time_point(30s), [&] { return all_is_well(fleet); });
+/// @endcode
+template <typename Node>
+class scheduler {
+public:
+    struct instance_state {
+        std::optional<Node> node; ///< Empty while the process is dead.
+        incarnation number = 0;
+        std::int64_t speed_permille = 1000; ///< Of the instance's clock.
+        duration clock_offset{};
+        time_point paused_until{};
+        std::vector<envelope> held; ///< Messages that arrived during a pause.
+    };
+
+    scheduler(schedule_settings settings, node_functions<Node> functions)
+        : settings_(std::move(settings)), functions_(std::move(functions)), random_{settings_.seed},
+          instances_(settings_.places.size())
+    {
+        for (std::size_t i = 0; i < instances_.size(); ++i) {
+            by_id_[settings_.places[i].instance] = i;
+            set_clock(instances_[i]);
+            start(i);
+            at(time_point(settings_.tick_period * (i + 1) / (instances_.size() + 1)), [this, i] { tick(i); });
+        }
+        const fault_plan& plan = settings_.faults;
+        plan_strikes(fault_kind::pause, plan.mean_between_pauses, plan.longest_pause,
+                     [this](std::size_t index, duration length) { pause(index, length); });
+        plan_strikes(fault_kind::kill, plan.mean_between_kills, plan.longest_down,
+                     [this](std::size_t index, duration length) { kill(index, length); });
+        plan_strikes(
+            fault_kind::cut, plan.mean_between_cuts, plan.longest_cut,
+            [this](std::size_t index, duration length) { cut(settings_.places[index].region, length); });
+    }
+    scheduler(const scheduler&) = delete;
+    scheduler& operator=(const scheduler&) = delete;
+
+    /// Runs @p action at @p when of real time, after what is already planned for that time.
+    void at(time_point when, std::function<void()> action)
+    {
+        events_.push({when, ++sequence_, std::move(action)});
+    }
+
+    /// Runs until @p end, or until @p check, called after each step, returns false.
+    /// @return whether the check held throughout.
+    template <typename Check>
+    bool run_until(time_point end, Check check)
+    {
+        while (!events_.empty() && events_.top().when <= end) {
+            event next = events_.top();
+            events_.pop();
+            now_ = next.when;
+            next.action();
+            if (!check()) {
+                return false;
+            }
+        }
+        now_ = end;
+        return true;
+    }
+
+    /// @return real time, which no instance sees.
+    time_point now() const { return now_; }
+    time_point local_time(std::size_t index) const
+    {
+        const instance_state& state = instances_[index];
+        return time_point(state.clock_offset + now_.time_since_epoch() / 1000 * state.speed_permille);
+    }
+    std::size_t size() const { return instances_.size(); }
+    bool runs(std::size_t index) const
+    {
+        return instances_[index].node.has_value() && now_ >= instances_[index].paused_until;
+    }
+    bool alive(std::size_t index) const { return instances_[index].node.has_value(); }
+    Node& node(std::size_t index) { return *instances_[index].node; }
+    const instance_state& state(std::size_t index) const { return instances_[index]; }
+    const schedule_settings& settings() const { return settings_; }
+    bool is_cut(region_id region) const
+    {
+        const auto found = cut_until_.find(region);
+        return found != cut_until_.end() && now_ < found->second;
+    }
+    std::size_t messages_sent() const { return messages_sent_; }
+
+    /// Kills the process at once; a new incarnation with empty state starts after @p down.
+    void kill(std::size_t index, duration down)
+    {
+        instances_[index].node.reset();
+        instances_[index].held.clear();
+        instances_[index].paused_until = {};
+        at(now_ + down, [this, index] { start(index); });
+    }
+    /// Freezes the process; its clock goes on and its messages wait.
+    void pause(std::size_t index, duration length)
+    {
+        instances_[index].paused_until = now_ + length;
+        at(now_ + length, [this, index] { deliver_held(index); });
+    }
+    /// Drops all messages between the region and the others.
+    void cut(region_id region, duration length) { cut_until_[region] = now_ + length; }
+    /// Sends messages in the name of an instance, as its own functions do.
+    void send(outbox& out)
+    {
+        for (envelope& message : out) {
+            post(std::move(message));
+        }
+        out.clear();
+    }
+
+    const fault_count& faults() const { return faults_; }
+
+private:
+    struct event {
+        time_point when;
+        std::uint64_t sequence;
+        std::function<void()> action;
+        bool operator<(const event& other) const
+        {
+            return when != other.when ? when > other.when : sequence > other.sequence;
+        }
+    };
+
+    bool strike(fault_kind kind, std::string_view mechanism)
+    {
+        const bool struck = faults_.struck < settings_.fault_limit && now_ < settings_.faults_until;
+        if (struck) {
+            ++faults_.struck;
+            faults_.meet(kind, mechanism);
+        }
+        return struck;
+    }
+    // Counts one fault, also for each mechanism at work in the instance.
+    bool strike_instance(fault_kind kind, std::size_t index)
+    {
+        const bool struck = strike(kind, "instance");
+        if (struck && functions_.mechanisms) {
+            for (const std::string_view mechanism : functions_.mechanisms(node(index))) {
+                faults_.meet(kind, mechanism);
+            }
+        }
+        return struck;
+    }
+    void set_clock(instance_state& state)
+    {
+        // Clocks differ in offset also without drift, as each machine booted at another time.
+        state.clock_offset = std::chrono::seconds(1000) + up_to(random_, std::chrono::seconds(1000));
+        const std::uint32_t drift = settings_.faults.drift_permille;
+        const auto shift = static_cast<std::int64_t>(uniform(random_, 2 * drift + 1)) - drift;
+        if (shift != 0 && strike(fault_kind::drift, "instance")) {
+            state.speed_permille += shift;
+        }
+    }
+    void plan_fault(duration mean, std::function<void()> action)
+    {
+        if (mean > duration::zero()) {
+            at(now_ + exponential(random_, mean), [this, mean, action] {
+                action();
+                plan_fault(mean, action);
+            });
+        }
+    }
+    // Strikes a random instance; the draws are made also when the fault is left out.
+    template <typename Action>
+    void plan_strikes(fault_kind kind, duration mean, duration longest, Action action)
+    {
+        plan_fault(mean, [this, kind, longest, action] {
+            const std::size_t index = uniform(random_, size());
+            const duration length = up_to(random_, longest);
+            if (alive(index) && strike_instance(kind, index)) {
+                action(index, length);
+            }
+        });
+    }
+    void start(std::size_t index)
+    {
+        instance_state& state = instances_[index];
+        if (!state.node) {
+            state.node = functions_.make(index, ++state.number, local_time(index));
+        }
+    }
+    void tick(std::size_t index)
+    {
+        if (runs(index)) {
+            outbox out;
+            functions_.tick(node(index), local_time(index), out);
+            send(out);
+        }
+        at(now_ + settings_.tick_period, [this, index] { tick(index); });
+    }
+    void post(envelope message)
+    {
+        const auto from = by_id_.find(message.from);
+        const auto to = by_id_.find(message.to);
+        if (from == by_id_.end() || to == by_id_.end()) {
+            return;
+        }
+        ++messages_sent_;
+        const std::string_view name = message_names[message.body.index()];
+        const placement& sender = settings_.places[from->second];
+        const placement& receiver = settings_.places[to->second];
+        const bool crosses_cut =
+            sender.region != receiver.region && (is_cut(sender.region) || is_cut(receiver.region));
+        // Every draw is made for every message, so that a prefix of the faults leaves the other draws alone.
+        const duration base = base_delay(settings_, sender, receiver);
+        const duration delay = base + up_to(random_, base / 5);
+        const duration second_delay = delay + up_to(random_, settings_.faults.reordering_delay);
+        const bool lost = chance(random_, settings_.faults.loss_permille);
+        const bool twice = chance(random_, settings_.faults.duplication_permille);
+        const bool late = chance(random_, settings_.faults.reordering_permille);
+        if (crosses_cut) {
+            faults_.meet(fault_kind::cut, name);
+            return;
+        }
+        if (lost && strike(fault_kind::loss, name)) {
+            return;
+        }
+        if (twice && strike(fault_kind::duplication, name)) {
+            at(now_ + second_delay, [this, index = to->second, message] { deliver(index, message); });
+        }
+        const bool is_late = late && strike(fault_kind::reordering, name);
+        at(now_ + (is_late ? second_delay : delay),
+           [this, index = to->second, message = std::move(message)] { deliver(index, message); });
+    }
+    void deliver(std::size_t index, const envelope& message)
+    {
+        if (!alive(index)) {
+            return;
+        }
+        if (!runs(index)) {
+            instances_[index].held.push_back(message);
+            return;
+        }
+        outbox out;
+        functions_.on_message(node(index), message, local_time(index), out);
+        send(out);
+    }
+    void deliver_held(std::size_t index)
+    {
+        if (!runs(index)) {
+            return;
+        }
+        for (const envelope& message : std::exchange(instances_[index].held, {})) {
+            deliver(index, message);
+        }
+    }
+
+    schedule_settings settings_;
+    node_functions<Node> functions_;
+    random_source random_;
+    std::vector<instance_state> instances_;
+    std::unordered_map<instance_id, std::size_t> by_id_;
+    std::unordered_map<region_id, time_point> cut_until_;
+    std::priority_queue<event> events_;
+    time_point now_{};
+    std::uint64_t sequence_ = 0;
+    fault_count faults_;
+    std::size_t messages_sent_ = 0;
+};
+
+} // namespace camphorknot::test_support
