--- a/packages/decision/include/camphorknot/routing/request.hpp
+++ b/packages/decision/include/camphorknot/routing/request.hpp
@@ -28,6 +28,9 @@
     duration report_lifetime = std::chrono::seconds(5); ///< Older load reports are ignored.
     std::uint32_t retry_percent = 10;
     std::uint32_t fleet_size = 1; ///< Live instances; ramps are split over them.
+    /// Targets drawn for a choice. Two come close to the least loaded one in a large pool; in a region with
+    /// six targets, two lose to least own in-flight over all of them and three do not.
+    std::uint32_t choices = 3;
     routing_mechanisms enabled{};
 };
 
--- a/packages/decision/include/camphorknot/routing/router.hpp
+++ b/packages/decision/include/camphorknot/routing/router.hpp
@@ -35,6 +35,7 @@
     time_point waiting_since{}; ///< Last completion, or when the first request in flight was sent.
     time_point paused_until{};  ///< No new work before, after repeated failures.
     std::uint32_t pauses = 0;   ///< Pauses in a row.
+    std::uint32_t failures_in_row = 0;
     decayed_average latency_ms;
     decayed_average failure; ///< Samples are 0 and 1.
     double reported_load = 0;
--- a/packages/decision/src/routing/choice.cpp
+++ b/packages/decision/src/routing/choice.cpp
@@ -17,9 +17,11 @@
 constexpr double failure_weight = 8;
 /// A target in another failure domain of the region must be this much cheaper to be preferred.
 constexpr double other_domain_factor = 1.1;
-/// Costs this close count as equal, and the reported load decides.
-constexpr double tie_fraction = 0.1;
+/// Costs this close count as equal. The reported load decides, or else the order in which they were drawn,
+/// as the small differences would send all requests to the same idle target.
+constexpr double tie_fraction = 0.05;
 constexpr duration estimate_half_life = std::chrono::seconds(5);
+constexpr duration failure_half_life = std::chrono::seconds(1);
 constexpr double unknown_latency_ms = 50;
 constexpr double base_share_of_capacity = 0.05;
 constexpr double percent = 100;
@@ -56,9 +58,11 @@
         target.in_flight == 0
             ? 0
             : std::chrono::duration<double, std::milli>(at.now - target.waiting_since).count();
-    const double failure = value_of(target.failure, 0, at.now, estimate_half_life);
+    const double failure = value_of(target.failure, 0, at.now, failure_half_life);
     const double domain = target.failure_domain == at.state.settings.failure_domain ? 1 : other_domain_factor;
-    const double window = at.state.settings.enabled.windows ? window_of(target) : target.slots;
+    // A window above the slots shows how much load the target had, not that it is faster.
+    const double window =
+        at.state.settings.enabled.windows ? std::min(window_of(target), target.slots) : target.slots;
     return (target.in_flight + 1) / window * std::max(latency, waiting) * (1 + failure_weight * failure) *
            domain;
 }
@@ -115,8 +119,9 @@
     const double first_cost = cost_of(at, first, latency);
     const double second_cost = cost_of(at, second, latency);
     const bool tie = std::abs(first_cost - second_cost) <= tie_fraction * std::min(first_cost, second_cost);
-    if (tie && is_fresh(at, first) && is_fresh(at, second) && first.reported_load != second.reported_load) {
-        return first.reported_load < second.reported_load ? a : b;
+    if (tie) {
+        const bool reported = is_fresh(at, first) && is_fresh(at, second);
+        return reported && second.reported_load < first.reported_load ? b : a;
     }
     return first_cost <= second_cost ? a : b;
 }
@@ -131,8 +136,13 @@
     if (first == no_index) {
         return first_untried(at, pool);
     }
-    const std::uint32_t second = pool.open_count == 1 ? no_index : sample(at, pool, first);
-    return second == no_index ? first : cheaper(at, pool, first, second);
+    std::uint32_t best = first;
+    const std::uint32_t rivals = std::min(at.state.settings.choices, pool.open_count);
+    for (std::uint32_t drawn = 1; drawn < rivals; ++drawn) {
+        const std::uint32_t rival = sample(at, pool, best);
+        best = rival == no_index ? best : cheaper(at, pool, best, rival);
+    }
+    return best;
 }
 
 ramp_limits limits_of(const choosing& at, const service_region& region, const target_pool& pool)
--- a/packages/decision/src/routing/outcome.cpp
+++ b/packages/decision/src/routing/outcome.cpp
@@ -12,6 +12,9 @@
 constexpr duration estimate_half_life = std::chrono::seconds(5);
 /// A window never allows more than this many requests per slot of the target from one instance.
 constexpr double window_per_slot = 4;
+/// Shorter than that of latencies, so that a target that begins to fail is paused soon.
+constexpr duration failure_half_life = std::chrono::seconds(1);
+constexpr std::uint32_t pause_failures_in_row = 5;
 constexpr double pause_failure_rate = 0.5;
 constexpr double pause_least_weight = 3;
 constexpr duration shortest_pause = std::chrono::seconds(1);
@@ -88,9 +91,10 @@
     }
     const bool tested = target.pauses > 0;
     const double weight =
-        target.failure.weight * decay_factor(now - target.failure.updated, estimate_half_life);
+        target.failure.weight * decay_factor(now - target.failure.updated, failure_half_life);
     const double rate = target.failure.sum / std::max(target.failure.weight, 1e-9);
-    if (rate < pause_failure_rate || (!tested && weight < pause_least_weight)) {
+    const bool often = rate >= pause_failure_rate && (tested || weight >= pause_least_weight);
+    if (!often && target.failures_in_row < pause_failures_in_row) {
         return false;
     }
     const target_pool& pool = state.services[target.service].pools[target.pool];
@@ -108,6 +112,17 @@
     pool.next_resume = std::min(pool.next_resume, target.paused_until);
 }
 
+// A cancelled attempt shows a lower bound of the latency. Without it, hedges would hide a slow target, as
+// they cancel just its slow attempts.
+bool shows_latency(const target_state& target, const attempt_report& report)
+{
+    if (report.result == attempt_result::cancelled) {
+        const double ms = std::chrono::duration<double, std::milli>(report.latency).count();
+        return ms * target.latency_ms.weight > target.latency_ms.sum;
+    }
+    return report.result == attempt_result::answered || report.result == attempt_result::timed_out;
+}
+
 // A request that was lost with a connection of a distrusted generation says nothing about the target.
 bool blames_target(const router& state, const target_state& target, const attempt_report& report)
 {
@@ -142,11 +157,12 @@
     }
     service_state& service = state.services[target.service];
     const bool failed = is_failure(report.result);
-    if (report.result == attempt_result::answered || report.result == attempt_result::timed_out) {
+    if (shows_latency(target, report)) {
         note_latency(service, target, report, now);
     }
     if (report.result != attempt_result::cancelled && report.result != attempt_result::shed_before_run) {
-        add_sample(target.failure, failed ? 1 : 0, now, estimate_half_life);
+        add_sample(target.failure, failed ? 1 : 0, now, failure_half_life);
+        target.failures_in_row = failed ? target.failures_in_row + 1 : 0;
     }
     if (report.result == attempt_result::answered) {
         target.pauses = 0;
@@ -176,6 +192,7 @@
     // The target itself works, so what the silent connections cost is not held against it.
     change_target(state, found->second, [](target_state& works) {
         works.failure = {};
+        works.failures_in_row = 0;
         works.pauses = 0;
         works.paused_until = {};
     });
--- a/packages/decision/src/routing/targets.cpp
+++ b/packages/decision/src/routing/targets.cpp
@@ -11,6 +11,7 @@
 
 constexpr double first_retry_tokens = 10;
 constexpr double first_window = 2;
+constexpr double no_window = 1e6;
 /// Losing this many instances and this share of the fleet within fleet_memory means that load moves. A single
 /// restart does not count, since its callers spread over all others.
 constexpr std::uint32_t least_lost_instances = 2;
@@ -74,6 +75,11 @@
     }
 }
 
+double new_window(const router& state)
+{
+    return state.settings.enabled.windows ? first_window : no_window;
+}
+
 target_state& find_or_add_target(router& state, target_id id, time_point now)
 {
     const auto [place, added] =
@@ -81,7 +87,7 @@
     if (added) {
         target_state& target = state.targets.emplace_back();
         target.id = id;
-        target.window = first_window;
+        target.window = new_window(state);
         target.started = now;
         return target;
     }
@@ -89,7 +95,7 @@
     if (!target.listed) {
         // The target was removed and came back, so its caches may be cold again.
         target.started = now;
-        target.window = first_window;
+        target.window = new_window(state);
     }
     return target;
 }
--- a/packages/decision/tests/routing_test.cpp
+++ b/packages/decision/tests/routing_test.cpp
@@ -21,10 +21,11 @@
     std::vector<target_object> targets;
     router state;
 
-    explicit fixture(int count, std::uint64_t seed = 1)
+    explicit fixture(int count, std::uint64_t seed = 1, const routing_mechanisms& enabled = {})
         : state(make_router({.region = make_id<region_id>("luzon"),
                              .failure_domain = make_id<failure_domain_id>("luzon-0"),
-                             .seed = seed},
+                             .seed = seed,
+                             .enabled = enabled},
                             start))
     {
         for (int i = 0; i < count; ++i) {
@@ -173,6 +174,25 @@
     CHECK(headroom_percent(f.state, make_id<service_id>("catalogue"), make_id<region_id>("luzon")) < 1);
 }
 
+TEST_CASE("routing: a target that sheds is left alone", "[routing]")
+{
+    // Guards against load that is piled on a target that cannot take it; fails without windows.
+    const auto most_in_flight = [](bool windows) {
+        fixture f(1, 1, {.windows = windows});
+        std::uint32_t most = 0;
+        for (int i = 0; i < 100; ++i) {
+            const auto answer = f.choose(start + i * 1ms);
+            most = std::max(most, in_flight(f.state, target_at(0)));
+            if (answer.choice && i % 2 == 0) {
+                f.end(*answer.choice, attempt_result::shed_before_run, 1ms, start + i * 1ms);
+            }
+        }
+        return most;
+    };
+    CHECK(most_in_flight(true) <= 2);
+    CHECK(most_in_flight(false) >= 40);
+}
+
 TEST_CASE("routing: refusals tell the truth about what ran", "[routing]")
 {
     // Guards P7 and P8: a request that may have run must not be repeated or called not_run.
