Add named services and the JSON log

The daemon's parts need one order of start and stop, and operators need log lines that programs can read. A glog sink writes one JSON object per event; fields reach it through a thread-local pointer and are never glued into text. Values of fields named like secrets are left out.

--- a/packages/kernel/include/camphorknot/kernel.hpp
+++ b/packages/kernel/include/camphorknot/kernel.hpp
@@ -3,4 +3,6 @@
 #pragma once
 
 #include "camphorknot/kernel/clock.hpp"
+#include "camphorknot/kernel/log.hpp"
 #include "camphorknot/kernel/metrics.hpp"
+#include "camphorknot/kernel/services.hpp"
--- /dev/null
+++ b/packages/kernel/src/log.cpp
@@ -0,0 +1,150 @@
+#include "camphorknot/kernel/log.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <glog/logging.h>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+namespace camphorknot {
+namespace {
+
+constexpr std::array<std::string_view, 5> secret_names = {"key", "ticket", "token", "secret",
+                                                          "authorization"};
+
+// glog calls the sink in the thread that logs, so the fields reach it without passing through text.
+thread_local const std::vector<log_field>* pending_fields = nullptr;
+
+log_severity severity_of(google::LogSeverity severity)
+{
+    if (severity >= google::GLOG_ERROR) {
+        return log_severity::error;
+    }
+    return severity == google::GLOG_WARNING ? log_severity::warning : log_severity::info;
+}
+
+google::LogSeverity severity_of(log_severity severity)
+{
+    constexpr std::array severities = {google::GLOG_INFO, google::GLOG_WARNING, google::GLOG_ERROR};
+    return severities.at(static_cast<std::size_t>(severity));
+}
+
+std::string format_time(const google::LogMessageTime& time)
+{
+    const std::time_t seconds = time.timestamp();
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 40> text{};
+    const std::size_t length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::array<char, 16> fraction{};
+    std::snprintf(fraction.data(), fraction.size(), ".%06dZ", time.usec());
+    return std::string(text.data(), length) + fraction.data();
+}
+
+struct json_sink final : google::LogSink {
+    void send(google::LogSeverity severity, const char* /*full_filename*/, const char* /*base_filename*/,
+              int /*line*/, const google::LogMessageTime& time, const char* message,
+              std::size_t length) override
+    {
+        const std::string_view text(message, length);
+        std::string formatted;
+        if (pending_fields != nullptr) {
+            formatted = format_event(format_time(time), severity_of(severity), text, *pending_fields);
+        } else {
+            // A library logged plain text through glog.
+            const std::vector<log_field> fields = {{"text", std::string(text)}};
+            formatted = format_event(format_time(time), severity_of(severity), "library_message", fields);
+        }
+        formatted += '\n';
+        const std::lock_guard lock(guard);
+        std::fwrite(formatted.data(), 1, formatted.size(), file);
+        std::fflush(file);
+    }
+
+    std::mutex guard;
+    std::FILE* file = stderr;
+};
+
+std::unique_ptr<json_sink>& current_sink()
+{
+    static std::unique_ptr<json_sink> sink;
+    return sink;
+}
+
+void start_glog()
+{
+    static const bool started = [] {
+        google::InitGoogleLogging("camphorknotd");
+        return true;
+    }();
+    (void)started;
+    // Lines reach only the sink: no files of glog, and no plain text on standard error.
+    for (const auto severity : {google::GLOG_INFO, google::GLOG_WARNING, google::GLOG_ERROR}) {
+        google::SetLogDestination(severity, "");
+    }
+    FLAGS_stderrthreshold = google::GLOG_FATAL;
+}
+
+} // namespace
+
+std::string format_event(std::string_view time, log_severity severity, std::string_view event,
+                         const std::vector<log_field>& fields)
+{
+    constexpr std::array<std::string_view, 3> severity_names = {"info", "warning", "error"};
+    nlohmann::ordered_json line;
+    line["time"] = time;
+    line["severity"] = severity_names.at(static_cast<std::size_t>(severity));
+    line["event"] = event;
+    for (const auto& [name, value] : fields) {
+        const bool secret = std::ranges::find(secret_names, name) != secret_names.end();
+        line[std::string(name)] = secret ? std::string("left out") : value;
+    }
+    return line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+bool open_log(const std::string& directory)
+{
+    start_glog();
+    close_log();
+    auto sink = std::make_unique<json_sink>();
+    if (!directory.empty()) {
+        sink->file = std::fopen((directory + "/camphorknotd.jsonl").c_str(), "ae");
+        if (sink->file == nullptr) {
+            return false;
+        }
+    }
+    google::AddLogSink(sink.get());
+    current_sink() = std::move(sink);
+    return true;
+}
+
+void close_log()
+{
+    std::unique_ptr<json_sink>& sink = current_sink();
+    if (sink == nullptr) {
+        return;
+    }
+    google::RemoveLogSink(sink.get());
+    if (sink->file != stderr) {
+        std::fclose(sink->file);
+    }
+    sink.reset();
+}
+
+void log_event(log_severity severity, std::string_view event, const std::vector<log_field>& fields,
+               const char* file, int line)
+{
+    if (current_sink() == nullptr) {
+        return;
+    }
+    pending_fields = &fields;
+    {
+        google::LogMessage message(file, line, severity_of(severity));
+        message.stream() << event;
+    }
+    pending_fields = nullptr;
+}
+
+} // namespace camphorknot
--- /dev/null
+++ b/packages/kernel/tests/kernel_test.cpp
@@ -0,0 +1,56 @@
+#include <catch2/catch.hpp>
+
+#include "camphorknot/kernel.hpp"
+
+using namespace camphorknot;
+
+TEST_CASE("kernel: services stop in reverse order, also when one cannot start", "[kernel]")
+{
+    // Guards against a start that fails half-way and leaves services running.
+    service_registry services;
+    std::string steps;
+    const auto make = [&steps](char name, bool works) {
+        service made;
+        made.start = [&steps, name, works] {
+            steps += name;
+            return works;
+        };
+        made.stop = [&steps, name] { steps += static_cast<char>(name - 'a' + 'A'); };
+        return made;
+    };
+    REQUIRE(register_service(services, "first", make('a', true)));
+    REQUIRE(register_service(services, "second", make('b', true)));
+    REQUIRE(register_service(services, "third", make('c', false)));
+    CHECK_FALSE(register_service(services, "first", make('d', true)));
+    CHECK(start_services(services) == "third");
+    CHECK(steps == "abcBA");
+    CHECK_FALSE(send_message(services, "first", std::any(1)));
+}
+
+TEST_CASE("kernel: an event is one JSON line without secrets", "[kernel]")
+{
+    // Guards against line breaks in values that forge further lines, and against keys in the log.
+    const std::string line = format_event("t", log_severity::warning, "peer_refused",
+                                          {{"peer", "a\n{\"event\":\"x\"}"}, {"key", "k1"}});
+    CHECK(line.find('\n') == std::string::npos);
+    CHECK(line.find("k1") == std::string::npos);
+    CHECK(line.find(R"("event":"peer_refused","peer":"a\n)") != std::string::npos);
+}
+
+TEST_CASE("kernel: the metrics page counts every observation once", "[kernel]")
+{
+    // Guards against durations outside the histogram's range that are lost from its count.
+    const metrics_handle page = make_metrics();
+    latency_histogram& histogram = latency(*page, "wait_seconds", "route=\"a\"");
+    observe(histogram, std::chrono::microseconds(1));
+    observe(histogram, std::chrono::milliseconds(20));
+    observe(histogram, std::chrono::hours(1));
+    const refusal_counters refusals = make_refusal_counters(*page, "refusals_total");
+    count_refusal(refusals, refusal_reason::rate_exceeded);
+    count_refusal(refusals, refusal_reason::none);
+    const std::string text = metrics_page(*page);
+    CHECK(text.find("wait_seconds_bucket{route=\"a\",le=\"0.0001\"} 1\n") != std::string::npos);
+    CHECK(text.find("wait_seconds_bucket{route=\"a\",le=\"+Inf\"} 3\n") != std::string::npos);
+    CHECK(text.find("wait_seconds_count{route=\"a\"} 3\n") != std::string::npos);
+    CHECK(text.find("refusals_total{reason=\"rate_exceeded\"} 1\n") != std::string::npos);
+}
