--- a/packages/decision/src/configuration/distribution.cpp
+++ b/packages/decision/src/configuration/distribution.cpp
@@ -10,7 +10,7 @@
 
 // The runtime's own timeout is shorter; this covers an answer that never comes.
 constexpr duration read_answer_term = std::chrono::seconds(5);
-constexpr duration longest_read_pause = std::chrono::seconds(2);
+constexpr duration longest_read_pause = std::chrono::seconds(1);
 // With this time per live instance between reads of instances that are no readers, the whole fleet makes
 // about 100 reads a second at any size, of the 2,000 that the table can take.
 constexpr duration fallback_time_per_instance = std::chrono::milliseconds(20);
@@ -40,24 +40,36 @@
     return higher < state.settings.readers_per_region;
 }
 
+// Whether a reader may be reading a burst for the others. One that reports a version far below the one in
+// force here has stopped, or needs this instance's help itself; reports are up to a second old, the time of
+// about 100 reads.
+bool may_lead_burst(const distribution& state, instance_id reader)
+{
+    constexpr std::uint64_t versions_read_between_reports = 100;
+    const auto report = state.reports.find(reader);
+    return report != state.reports.end() &&
+           report->second.version + versions_read_between_reports >= state.current.version;
+}
+
 // Number of readers of all regions that read a burst of changes before this instance.
 std::size_t burst_rank(const distribution& state)
 {
     if (!is_reader(state)) {
         return burst_rank_of_others;
     }
-    std::map<region_id, std::vector<std::uint64_t>> hashes;
+    std::map<region_id, std::vector<std::pair<std::uint64_t, instance_id>>> readers;
     for (const member_record& member : state.live) {
         if (member.state == member_state::alive && member.instance != state.settings.self) {
-            hashes[member.region].push_back(reader_hash(member.instance));
+            readers[member.region].emplace_back(reader_hash(member.instance), member.instance);
         }
     }
     std::size_t rank = 0;
-    for (auto& [region, of_region] : hashes) {
-        std::ranges::sort(of_region, std::greater<>());
+    for (auto& [region, of_region] : readers) {
+        std::ranges::sort(of_region, [](const auto& a, const auto& b) { return a.first > b.first; });
         of_region.resize(std::min<std::size_t>(of_region.size(), state.settings.readers_per_region));
-        rank += static_cast<std::size_t>(std::ranges::count_if(
-            of_region, [&](std::uint64_t hash) { return hash > reader_hash(state.settings.self); }));
+        rank += static_cast<std::size_t>(std::ranges::count_if(of_region, [&](const auto& reader) {
+            return reader.first > reader_hash(state.settings.self) && may_lead_burst(state, reader.second);
+        }));
     }
     return rank;
 }
