--- /dev/null
+++ b/packages/client/src/main.cpp
@@ -0,0 +1,141 @@
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+#include <gflags/gflags.h>
+#include <openssl/rand.h>
+
+#include "camphorknot/client/commands.hpp"
+
+DEFINE_string(instances, "127.0.0.1:7301", "admin addresses of instances, ip:port, separated by commas");
+DEFINE_string(token_file, "", "file with the operator's token");
+DEFINE_int32(timeout_ms, 3000, "time for one instance to answer, in milliseconds");
+DEFINE_string(manifest, "manifest.yaml", "file with the manifest");
+DEFINE_string(output, "table", "table or json");
+DEFINE_int64(expected_version, -1,
+             "apply: refuse unless this version is in force; -1: the version of the diff");
+DEFINE_bool(wait, true, "apply, keys: wait until the change is in force on all live instances");
+DEFINE_int32(wait_limit_s, 60, "longest time to wait, in seconds");
+DEFINE_string(customer, "", "keys issue: customer that the key belongs to");
+DEFINE_string(label, "", "keys issue: name of the key in lists");
+
+namespace {
+
+using namespace camphorknot::client;
+
+constexpr const char* usage =
+    "operates a camphorknot fleet\n\n"
+    "camphorknotctl COMMAND [ARGUMENTS] [FLAGS]\n\n"
+    "  validate              check the manifest; lists every error\n"
+    "  diff                  show what apply would change; exit code 3 if there is something\n"
+    "  apply                 make the manifest the configuration, unless it changed in between\n"
+    "  export                print the configuration in force as JSON\n"
+    "  status                instances, regions, targets, customers and who lags behind\n"
+    "  moves                 planned moves and their stages\n"
+    "  watch MOVE            follow a move until it is done or rolled back\n"
+    "  watch version NUMBER  wait until a version is in force everywhere\n"
+    "  keys issue            make a key for --customer; shown once\n"
+    "  keys revoke KEY       stop the key with this label or beginning of its hash\n"
+    "  keys list             keys by customer; never the keys themselves\n\n"
+    "Exit codes: 0 done, 1 usage, 2 invalid, 3 differs, 4 version_conflict, 5 unreachable, 6 refused,\n"
+    "7 rolled_back, 8 timed_out, 9 unknown. The flags are listed by --helpshort.";
+
+std::vector<std::string> split(const std::string& text)
+{
+    std::vector<std::string> parts;
+    std::istringstream in(text);
+    for (std::string part; std::getline(in, part, ',');) {
+        if (!part.empty()) {
+            parts.push_back(part);
+        }
+    }
+    return parts;
+}
+
+std::string random_key()
+{
+    constexpr std::size_t key_bytes = 24;
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::array<unsigned char, key_bytes> bytes{};
+    if (RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) != 1) {
+        std::cerr << "error: no random numbers\n";
+        std::abort();
+    }
+    std::string key = "ck_";
+    for (const unsigned char byte : bytes) {
+        key += digits[byte >> 4U];
+        key += digits[byte & 0xfU];
+    }
+    return key;
+}
+
+// The token is read from a file, since arguments show up in process lists.
+std::optional<std::string> read_token()
+{
+    if (FLAGS_token_file.empty()) {
+        return "";
+    }
+    std::ifstream in(FLAGS_token_file);
+    std::string token;
+    return std::getline(in, token) ? std::optional(token) : std::nullopt;
+}
+
+command_options options_from(int argc, char** argv)
+{
+    command_options options;
+    options.command = argc > 1 ? argv[1] : "";
+    for (int index = 2; index < argc; ++index) {
+        options.arguments.emplace_back(argv[index]);
+    }
+    options.manifest_file = FLAGS_manifest;
+    options.json = FLAGS_output == "json";
+    if (FLAGS_expected_version >= 0) {
+        options.expected_version = static_cast<std::uint64_t>(FLAGS_expected_version);
+    }
+    options.wait = FLAGS_wait;
+    options.wait_limit = std::chrono::seconds(FLAGS_wait_limit_s);
+    options.customer = FLAGS_customer;
+    options.label = FLAGS_label;
+    return options;
+}
+
+camphorknot::unix_milliseconds wall_now()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+int fail_with(const std::string& message)
+{
+    std::cerr << "error: " << message << "\n";
+    return static_cast<int>(exit_code::usage);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage(usage);
+    gflags::SetVersionString("0.1.0");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (argc < 2) {
+        std::cerr << "camphorknotctl: " << usage << "\n";
+        return static_cast<int>(exit_code::usage);
+    }
+    if (FLAGS_output != "table" && FLAGS_output != "json") {
+        return fail_with("--output is '" + FLAGS_output + "'; allowed: table, json");
+    }
+    const auto token = read_token();
+    if (!token) {
+        return fail_with("cannot read a token from " + FLAGS_token_file);
+    }
+    command_context context;
+    context.admin = {split(FLAGS_instances), *token, std::chrono::milliseconds(FLAGS_timeout_ms)};
+    context.out = &std::cout;
+    context.errors = &std::cerr;
+    context.wall_now = wall_now;
+    context.sleep = [](std::chrono::milliseconds span) { std::this_thread::sleep_for(span); };
+    context.random_key = random_key;
+    return static_cast<int>(run_command(options_from(argc, argv), context));
+}
