--- a/packages/decision/src/configuration/distribution.cpp
+++ b/packages/decision/src/configuration/distribution.cpp
@@ -100,8 +100,7 @@
 {
     const duration per_fleet = fallback_time_per_instance * static_cast<std::int64_t>(state.live.size());
     const duration spread = std::max(shortest_fallback_spread, per_fleet);
-    return duration(
-        static_cast<std::int64_t>(uniform_real(state.random) * static_cast<double>(spread.count())));
+    return fraction_of(state, spread);
 }
 
 bool readers_are_silent(const distribution& state, time_point now)
--- a/packages/decision/tests/configuration_distribution_test.cpp
+++ b/packages/decision/tests/configuration_distribution_test.cpp
@@ -248,3 +248,93 @@
     REQUIRE(snapshot);
     CHECK(snapshot->version == 256);
 }
+
+TEST_CASE("distribution: a burst of changes is read by one reader at a time", "[configuration]")
+{
+    // Guards against the readers of all regions reading each change of a burst: 42 readers would exceed the
+    // table.
+    fleet all(7, 7, 3);
+    all.commit_many(1);
+    all.run(seconds(5));
+    REQUIRE(lowest_version(all) == 1);
+    const std::uint64_t before = total(all, &distribution_counts::table_reads);
+    all.commit_many(200);
+    all.run(seconds(9));
+    CHECK(lowest_version(all) == 201);
+    // 14 readers poll 18 times each. Each change is read a few times, not 14 times.
+    CHECK(total(all, &distribution_counts::table_reads) - before < 14 * 19 + 4 * 200);
+}
+
+TEST_CASE("distribution: peers are asked before the table, those of the own region first", "[configuration]")
+{
+    // Guards against table reads and traffic between regions that a near peer makes needless.
+    const auto near = make_id<instance_id>("near");
+    const auto region = fleet::region(0);
+    std::vector<member_record> live(9);
+    live[8].instance = near;
+    for (std::uint64_t index = 0; index < 8; ++index) {
+        live[index].instance = {index % 2 == 0 ? index + 1 : ~index};
+    }
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        distribution state = make_distribution({make_id<instance_id>("self"), region, seed}, time_point{});
+        state.head = table_row{"config/head", "1", 1};
+        state.head_version = 1;
+        for (const member_record& member : live) {
+            const auto of = member.instance == near ? region : fleet::region(1);
+            on_version_seen(state, member.instance, of, 1, seconds(0), {});
+        }
+        outbox out;
+        const distribution_read wanted = tick(state, live, time_point{}, out);
+        REQUIRE(out.size() == 1);
+        CHECK(out[0].to == near);
+        CHECK((!wanted.table || wanted.table->row == "config/head"));
+        state.read.reset();
+        const distribution_read next = tick(state, live, time_point{} + milliseconds(10), out);
+        CHECK((!next.table || next.table->row == "config/head"));
+        // A peer that has stopped no longer makes this instance wait for a version.
+        state.head_version = 0;
+        tick(state, {}, time_point{} + milliseconds(20), out);
+        CHECK_FALSE(state.behind_since);
+    }
+}
+
+TEST_CASE("distribution: instances do not turn to the table all at once", "[configuration]")
+{
+    // Guards against a fleet that overloads the table at the moment when its readers fall silent.
+    fleet all(8, 1, 80);
+    all.commit_many(1);
+    all.run(seconds(4));
+    for (simulated_instance& one : all.instances) {
+        one.state->settings.readers_per_region = 0;
+    }
+    std::uint64_t before = total(all, &distribution_counts::table_reads);
+    std::uint64_t highest = 0;
+    all.run(seconds(5), [&] {
+        const std::uint64_t reads = total(all, &distribution_counts::table_reads);
+        highest = std::max(highest, reads - before);
+        before = reads;
+    });
+    CHECK(highest > 0);
+    CHECK(highest < 8); // In 10 ms; 80 instances read over 1.6 s.
+}
+
+TEST_CASE("distribution: an old snapshot is ignored", "[configuration]")
+{
+    // Guards against a slow object store whose answer comes after newer changes.
+    distribution state = make_distribution({make_id<instance_id>("self"), {}, 1}, time_point{});
+    const auto peer = make_id<instance_id>("peer");
+    outbox out;
+    std::vector<member_record> live(1);
+    live[0].instance = peer;
+    on_version_seen(state, peer, {}, 256, reader_age_unknown, {});
+    REQUIRE(tick(state, live, time_point{}, out).object == "configuration/256");
+    std::vector<encoded_change> changes;
+    for (std::uint64_t version = 1; version <= 257; ++version) {
+        changes.push_back(change_for(version, static_cast<std::int64_t>(version)));
+    }
+    on_message(state, reply_from(peer, changes), {}, out);
+    REQUIRE(in_force(state).version == 257);
+    on_object_answer(state, encode_snapshot({256, {}}), {});
+    CHECK(in_force(state).version == 257);
+    CHECK(in_force(state).objects.size() == 1);
+}
