--- /dev/null
+++ b/packages/decision/src/configuration/distribution_state.cpp
@@ -0,0 +1,222 @@
+#include <algorithm>
+
+#include "distribution_internal.hpp"
+
+namespace camphorknot {
+namespace internal {
+namespace {
+
+// A peer that is at most two snapshots behind is served from memory; the bytes keep the share of the 64 MB of
+// a node small when changes are large.
+constexpr std::size_t most_recent_changes = 2 * snapshot_interval;
+constexpr std::size_t most_recent_bytes = 4U << 20U;
+constexpr std::size_t snapshot_writers = 2;
+
+bool writes_snapshot(const distribution& state)
+{
+    const std::uint64_t version = state.current.version;
+    const auto rank = [&](instance_id instance) { return mix_hash(instance.value, version); };
+    const auto higher = std::ranges::count_if(state.live, [&](const member_record& member) {
+        return member.state == member_state::alive && rank(member.instance) > rank(state.settings.self);
+    });
+    return static_cast<std::size_t>(higher) < snapshot_writers;
+}
+
+void keep_recent(distribution& state, std::uint64_t version, std::string text)
+{
+    state.recent_bytes += text.size();
+    state.recent.push_back({version, std::move(text)});
+    while (state.recent.size() > most_recent_changes ||
+           (state.recent_bytes > most_recent_bytes && state.recent.size() > 1)) {
+        state.recent_bytes -= state.recent.front().text.size();
+        state.recent.pop_front();
+    }
+}
+
+void after_install(distribution& state, std::uint64_t version_before)
+{
+    check_invariant(state.current.version > version_before, promise::p11_configuration,
+                    "configuration_version_goes_back");
+    state.behind_since.reset();
+    state.own_regions.clear();
+    for (auto place = state.current.objects.lower_bound({object_kind::region, ""});
+         place != state.current.objects.end() && place->first.kind == object_kind::region; ++place) {
+        state.own_regions.insert(make_id<region_id>(place->first.name));
+    }
+    note_agreement(state);
+}
+
+// Counts a text that differs from the one that was applied for its version.
+void compare_with_applied(distribution& state, std::uint64_t version, const std::string& text)
+{
+    ++state.counts.older_ignored;
+    const auto same_version = [&](const encoded_change& change) { return change.version == version; };
+    const auto place = std::ranges::find_if(state.recent, same_version);
+    if (place != state.recent.end() && place->text != text) {
+        ++state.counts.conflicting;
+    }
+}
+
+} // namespace
+
+std::uint64_t highest_reported(const distribution& state)
+{
+    std::uint64_t highest = state.head_version;
+    for (const auto& [peer, report] : state.reports) {
+        highest = std::max(highest, report.version);
+    }
+    return highest;
+}
+
+bool is_burst(const distribution& state)
+{
+    constexpr std::uint64_t smallest_burst = 8;
+    return highest_reported(state) >= state.current.version + smallest_burst;
+}
+
+bool apply_text(distribution& state, std::uint64_t version, std::string text)
+{
+    const std::uint64_t before = state.current.version;
+    if (version <= before) {
+        compare_with_applied(state, version, text);
+        return false;
+    }
+    if (version != before + 1) {
+        ++state.counts.gaps_ignored;
+        return false;
+    }
+    auto change = decode_change(text);
+    if (!change || change->version != version) {
+        ++state.counts.malformed;
+        return false;
+    }
+    const change_error error = apply_change(state.current, *change);
+    check_invariant(error == change_error::none, promise::p11_configuration, "next_change_applies");
+    keep_recent(state, version, std::move(text));
+    state.applied.push_back(std::move(*change));
+    after_install(state, before);
+    if (version % snapshot_interval == 0 && writes_snapshot(state)) {
+        state.unwritten = snapshot_write{snapshot_name(version), encode_snapshot(state.current)};
+    }
+    return true;
+}
+
+void install_snapshot(distribution& state, configuration snapshot)
+{
+    const std::uint64_t before = state.current.version;
+    if (snapshot.version <= before) {
+        ++state.counts.older_ignored;
+        return;
+    }
+    configuration_change change = diff(state.current, snapshot);
+    change.version = snapshot.version;
+    state.applied.push_back(std::move(change));
+    state.current = std::move(snapshot);
+    // The changes before it no longer lead to the version in force.
+    state.recent.clear();
+    state.recent_bytes = 0;
+    after_install(state, before);
+}
+
+void note_agreement(distribution& state)
+{
+    if (state.head && state.current.version >= state.head_version) {
+        state.table_agreed = true;
+    }
+    std::map<region_id, std::uint64_t> highest;
+    for (const auto& [peer, report] : state.reports) {
+        if (report.version > 0 && !state.agreed_regions.contains(report.region)) {
+            highest[report.region] = std::max(highest[report.region], report.version);
+        }
+    }
+    for (const auto& [region, version] : highest) {
+        if (state.current.version >= version) {
+            state.agreed_regions.insert(region);
+        }
+    }
+}
+
+} // namespace internal
+
+const configuration& in_force(const distribution& state)
+{
+    return state.current;
+}
+
+bool may_serve(const distribution& state, std::span<const region_id> regions)
+{
+    const auto majority = [&](const auto& of) {
+        const auto agreed = std::ranges::count_if(
+            of, [&](region_id region) { return state.agreed_regions.contains(region); });
+        return 2 * static_cast<std::size_t>(agreed) > of.size();
+    };
+    return state.table_agreed || (majority(regions) && majority(state.own_regions));
+}
+
+std::uint64_t reported_version(const distribution& state, std::span<const region_id> regions)
+{
+    return may_serve(state, regions) ? state.current.version : 0;
+}
+
+duration reader_age(const distribution& state, time_point now)
+{
+    return state.confirmed ? std::max(now - *state.confirmed, duration::zero()) : reader_age_unknown;
+}
+
+std::vector<configuration_change> take_applied(distribution& state)
+{
+    return std::exchange(state.applied, {});
+}
+
+std::optional<snapshot_write> take_snapshot_write(distribution& state, time_point now)
+{
+    if (!state.unwritten || state.snapshot_write_under_way || now < state.next_snapshot_write) {
+        return std::nullopt;
+    }
+    state.snapshot_write_under_way = true;
+    return state.unwritten;
+}
+
+void on_snapshot_written(distribution& state, bool written, time_point now)
+{
+    state.snapshot_write_under_way = false;
+    if (written) {
+        state.unwritten.reset();
+    }
+    state.next_snapshot_write = now + internal::failed_source_pause;
+}
+
+std::optional<table_row> head_row(const distribution& state)
+{
+    return state.head;
+}
+
+void on_change_committed(distribution& state, const configuration_change& change)
+{
+    state.head_version = std::max(state.head_version, change.version);
+    internal::apply_text(state, change.version, encode_change(change));
+}
+
+table_transaction make_change_transaction(const configuration_change& next, std::uint64_t head_row_version,
+                                          std::uint64_t operation)
+{
+    const std::string row = change_row(next.version);
+    const std::string head(configuration_head_row);
+    table_transaction transaction;
+    transaction.operation = operation;
+    transaction.conditions = {{head, head_row_version}, {row, 0}};
+    transaction.writes = {{head, std::to_string(next.version)}, {row, encode_change(next)}};
+    return transaction;
+}
+
+std::string change_row(std::uint64_t version)
+{
+    return "config/change/" + std::to_string(version);
+}
+
+std::string snapshot_name(std::uint64_t version)
+{
+    return "configuration/" + std::to_string(version);
+}
+
+} // namespace camphorknot
