--- a/packages/decision/include/camphorknot/messages.hpp
+++ b/packages/decision/include/camphorknot/messages.hpp
@@ -53,7 +53,8 @@
     std::uint64_t detail =
         0; ///< incarnation for incarnation_fenced and instance_leaving; service_id for version_stopped.
     key_hash key{}; ///< Only for key_revoked.
-    friend auto operator<=>(const fact&, const fact&) = default;
+    // The linter takes the zero in rewritten comparisons for a null pointer.
+    friend auto operator<=>(const fact&, const fact&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// Direct probe; the sender counts its authority from the time it sent this.
@@ -63,10 +64,11 @@
 
 struct ping_ack {
     std::uint64_t sequence = 0;
-    region_id region; ///< Region of the instance that answers.
+    region_id region; ///< Region of the instance that answers; zero: it lives, but gives no contact.
     incarnation fenced_number =
         0; ///< Highest fenced incarnation known for the receiver's address; 0 for none.
     std::uint64_t configuration_version = 0;
+    std::uint64_t ticket_epoch = 0; ///< Of the instance that answers.
 };
 
 /// Asks the receiver to probe @c subject for the sender.
@@ -85,6 +87,7 @@
     duration reader_age{};  ///< Time since a table reader last confirmed the configuration version.
     bool wants_all = false; ///< Asks for the full state, when digests have differed for long.
     bool is_reply = false;
+    bool settled = false; ///< The sender has pulled the facts of a majority of regions (section 2.9).
 };
 
 struct change_request {
@@ -114,13 +117,23 @@
     budget_id budget;
     budget_amount wanted;
     duration term{};
+    std::uint32_t round = 0; ///< Counts the requests for this loan; the grant repeats it.
+};
+
+/// Whether the lender asks for the loan to be returned before its term ends.
+enum class loan_recall : std::uint8_t {
+    none,
+    if_unused, ///< Another borrower asks; return it unless it is needed.
+    always,    ///< The lender needs it itself.
 };
 
 struct loan_grant {
     std::uint64_t loan = 0;
     budget_id budget;
     budget_amount granted; ///< All zero when nothing is granted.
-    duration term{};       ///< Counted by the borrower from the sending of its request.
+    duration term{};       ///< Counted by the borrower from the sending of the request with this round.
+    std::uint32_t round = 0;
+    loan_recall recall = loan_recall::none; ///< If set, the message grants nothing.
 };
 
 /// Ends a loan early; the borrower deducted the amount before sending this.
@@ -134,6 +147,7 @@
 struct spare_report {
     struct entry {
         budget_id budget;
+        instance_id owner; ///< Who can lend; the sender, or another owner that the sender knows of.
         std::int64_t spare_rate_per_second = 0;
         std::int64_t spare_burst = 0;
     };
@@ -154,17 +168,23 @@
         0; ///< Highest incarnation that the answering instance has seen at the address.
 };
 
-/// Outcome counts of one route and version in one time window.
+/// What the entries of rollout_counts sum up.
+enum class count_scope : std::uint8_t { instance, region, fleet };
+
+/// Outcome counts per route and version, cumulative for one step of a move.
 struct rollout_counts {
     struct entry {
         move_id move;
         route_id route;
-        version_id version;
-        std::uint32_t window = 0; ///< Counted from the start of the move's stage.
+        version_id version;       ///< The move's new version; zero for all others together.
+        std::uint32_t window = 0; ///< Step of the move.
         std::uint64_t requests = 0;
         std::uint64_t failures = 0;
-        std::uint64_t slow = 0; ///< Slower than the old version's p90 on the same route and size class.
+        std::uint64_t timed = 0; ///< Successes whose latency was compared.
+        std::uint64_t slow = 0;  ///< Slower than the old version's p90 on the same route and size class.
     };
+    count_scope scope = count_scope::instance;
+    region_id region; ///< Region summed up, for count_scope::region.
     std::vector<entry> entries;
 };
 
