decision/budget: lending follows demand in tens of milliseconds

Cause: moving and skewed callers were refused inside their rate, and instances passed small loans around. Ruled out: bursts lent in proportion to rates, since an instance that callers move to then has no tokens to start with; a fixed wait after a refused loan, since spare that comes back is then found too late. A refused borrower is told when there is spare, a lender asks a third borrower for loans it does not use, and loans last at least 300 ms. Idle owners keep two requests.

--- a/packages/decision/include/camphorknot/budget/ledger.hpp
+++ b/packages/decision/include/camphorknot/budget/ledger.hpp
@@ -38,9 +38,11 @@
     bool returning = false; ///< Waits for running work to end before it is returned.
     bool denied = false;    ///< The lender does not renew it.
     bool unanswered = true; ///< The last request is.
+    time_point taken{};     ///< When it was first asked for.
     time_point sent{};      ///< When the last request was sent.
     time_point usable_until{};
-    time_point held_until{}; ///< End of all work that may have started on it.
+    time_point asked_back_until{}; ///< Until then the lender has another borrower for it.
+    time_point held_until{};       ///< End of all work that may have started on it.
 };
 
 /// What is known of an owner's spare.
@@ -54,7 +56,10 @@
 struct demand_estimate {
     double fast = 0; ///< Thousandths per second, or permits in thousandths.
     double slow = 0;
-    bool refused = false; ///< Since the look before the last.
+    bool is_short = false;  ///< Refused, or close to it, before the last look.
+    bool was_short = false; ///< The same, or not long ago.
+    time_point short_until{};
+    std::int64_t tokens = 0; ///< At the last look.
     time_point updated{};
 };
 
@@ -76,8 +81,9 @@
     std::unordered_map<instance_id, owner_view> owners;
     demand_estimate demand;
     time_point next_round{};
-    time_point last_asked{};
-    std::optional<share> reported; ///< Spare that the pools were last told, if not the whole allocation.
+    time_point asked_back_until{};    ///< Loans that were asked back are looked at in each tick until then.
+    std::vector<instance_id> waiting; ///< Borrowers that got less than they asked for.
+    std::optional<share> reported;    ///< Spare that the pools were last told, if not the whole allocation.
 };
 
 /// Who can be asked, computed again only when the live members change.
--- a/packages/decision/src/budget/borrower.cpp
+++ b/packages/decision/src/budget/borrower.cpp
@@ -15,6 +15,8 @@
 constexpr duration silent_backoff = std::chrono::seconds(1);
 constexpr duration shortest_backoff = std::chrono::milliseconds(100);
 constexpr duration longest_backoff = std::chrono::milliseconds(1600);
+// How long the request of another borrower for a loan is remembered.
+constexpr duration asked_back_time = std::chrono::seconds(1);
 // A lender that asked for its loan back needs part of it for its own callers; it knows how much after a
 // round.
 constexpr duration recalled_backoff = std::chrono::milliseconds(300);
@@ -22,6 +24,7 @@
 constexpr std::size_t loan_limit = 256; ///< Per budget, against many small loans.
 // Loans are returned only if what remains is well above the demand, so that they do not come and go.
 constexpr std::int64_t surplus_percent = 125;
+constexpr duration shortest_loan = std::chrono::milliseconds(300);
 constexpr std::int64_t percent = 100;
 
 void back_off(owner_view& view, time_point now)
@@ -116,14 +119,18 @@
     }
 }
 
+// Returns loans that leave enough: by a margin, or, if another borrower asks for them, by the latest demand.
 void return_surplus(const budget_ledger& ledger, budget_state& state, const share& wanted, time_point now,
                     outbox& out)
 {
     const share kept = {wanted.rate * surplus_percent / percent, wanted.burst * surplus_percent / percent};
+    const share latest = wanted_share(state, demand_view::latest);
     share held = held_active(ledger, state, now);
     for (std::size_t i = state.taken.size(); i > 0; --i) {
         loan_taken& loan = state.taken[i - 1];
-        if (!loan.active || loan.returning || !covers(held - loan.amount, kept)) {
+        const share& limit = now < loan.asked_back_until ? latest : kept;
+        const bool is_new = now - loan.taken < shortest_loan;
+        if (!loan.active || loan.returning || is_new || !covers(held - loan.amount, limit)) {
             continue;
         }
         held = held - loan.amount;
@@ -200,6 +207,8 @@
     loan.lender = lender;
     loan.loan = mix_hash(mix_hash(ledger.settings.self.value, ledger.number), ++ledger.loans);
     loan.amount = amount;
+    loan.taken = now;
+    state.owners[lender].not_before = now + shortest_backoff;
     send_request(ledger, state, loan, now, out);
     state.taken.push_back(loan);
 }
@@ -218,9 +227,12 @@
     std::size_t requests = 0;
     for (const candidate& lender : find_candidates(ledger, state, now)) {
         const share ask = ask_for(state, shortfall, lender.spare);
-        if (is_zero(ask) || requests == requests_per_round || state.taken.size() >= loan_limit) {
+        if (requests == requests_per_round || state.taken.size() >= loan_limit) {
             break;
         }
+        if (is_zero(ask)) {
+            continue;
+        }
         request_loan(ledger, state, lender.instance, ask, now, out);
         shortfall = shortfall - ask;
         ++requests;
@@ -263,13 +275,12 @@
 void on_recall(const budget_ledger& ledger, budget_state& state, loan_taken& loan, loan_recall how,
                time_point now, outbox& out)
 {
-    update_demand(state, now);
-    const share rest = held_active(ledger, state, now) - loan.amount;
-    if (how == loan_recall::if_unused && !covers(rest, wanted_share(state, true))) {
+    if (how == loan_recall::if_unused) {
+        loan.asked_back_until = now + asked_back_time;
+        state.asked_back_until = loan.asked_back_until;
         return;
     }
-    owner_view& view = state.owners[loan.lender];
-    view.not_before = now + recalled_backoff;
+    state.owners[loan.lender].not_before = now + recalled_backoff;
     if (give_up(ledger, state, loan, now, out)) {
         erase_taken(state, loan);
     }
@@ -282,6 +293,7 @@
     owner_view& view = state.owners[loan.lender];
     if (granted == loan.amount) {
         view.backoff = {};
+        view.spare.reset();
     } else {
         back_off(view, now);
     }
@@ -333,7 +345,7 @@
         return_all(ledger, state, now, out);
         return;
     }
-    const share wanted = wanted_share(state, false);
+    const share wanted = wanted_share(state, demand_view::wanted);
     return_surplus(ledger, state, wanted, now, out);
     renew_loans(ledger, state, now, out);
     const share have = expected(ledger, state, now);
@@ -341,7 +353,8 @@
     if (is_zero(shortfall) || !is_worth_asking(shortfall, wanted, have)) {
         return;
     }
-    recall_loans(ledger, state, shortfall, loan_recall::always, now, out);
+    const share lacking = wanted_share(state, demand_view::kept) - have;
+    recall_loans(ledger, state, lacking, {}, now, out);
     request_loans(ledger, state, shortfall, now, out);
 }
 
--- a/packages/decision/src/budget/ledger.cpp
+++ b/packages/decision/src/budget/ledger.cpp
@@ -11,6 +11,10 @@
 namespace {
 
 constexpr std::int64_t percent = 100;
+// Burst that an idle owner keeps for the first requests of callers that come to it, and at most this part of
+// its own burst.
+constexpr std::int64_t first_requests = 2;
+constexpr std::int64_t first_part = 4;
 
 // The part of the own allocation that may be lent; permits are rounded up to whole ones.
 share lendable_own(const budget_ledger& ledger, const budget_state& state)
@@ -91,7 +95,7 @@
 bool is_idle(const budget_state& state)
 {
     return state.given.empty() && state.taken.empty() && !state.reported &&
-           internal::is_zero(internal::wanted_share(state, false));
+           internal::is_zero(internal::wanted_share(state, internal::demand_view::wanted));
 }
 
 // Lets the traffic threads list the budget again. Returns false if they used it meanwhile.
@@ -108,12 +112,14 @@
 
 void run_round(budget_ledger& ledger, budget_state& state, time_point now, outbox& out)
 {
+    internal::notify_waiting(ledger, state, now, out);
     const bool is_short = state.account->is_short.exchange(false);
-    if (!is_short && now < state.next_round) {
+    const bool is_asked_back = now < state.asked_back_until;
+    if (!is_short && !is_asked_back && now < state.next_round) {
         return;
     }
     state.next_round = now + ledger.settings.round_period;
-    internal::update_demand(state, now);
+    internal::update_demand(state, is_short, now);
     internal::expire_given(ledger, state, now);
     internal::run_borrower(ledger, state, now, out);
 }
@@ -189,8 +195,13 @@
     if (now < state.restart_until || !ledger.own_allowed || !has_authority(ledger, now)) {
         return {};
     }
-    const share needed = ledger.leaving ? share{} : wanted_share(state, false);
-    share spare = at_most(lendable_own(ledger, state), state.own - needed) - state.lent;
+    const share needed = ledger.leaving ? share{} : wanted_share(state, demand_view::kept);
+    share spare = at_most(lendable_own(ledger, state), state.own - needed);
+    if (state.total.kind == budget_kind::rate && !ledger.leaving) {
+        const std::int64_t first = std::min(first_requests * one_request, state.own.burst / first_part);
+        spare.burst = std::min(spare.burst, state.own.burst - first);
+    }
+    spare = spare - state.lent;
     if (state.total.kind == budget_kind::in_flight) {
         const std::lock_guard lock(state.account->mutex);
         spare.burst = std::min(spare.burst, state.account->base.burst - state.account->in_use);
@@ -323,7 +334,7 @@
     } else if (const auto* returned = std::get_if<loan_return>(&message.body)) {
         internal::on_loan_return(ledger, message, *returned, now);
     } else if (const auto* report = std::get_if<spare_report>(&message.body)) {
-        internal::on_spare_report(ledger, *report, now);
+        internal::on_spare_report(ledger, message, *report, now);
     }
 }
 
--- a/packages/decision/src/budget/lender.cpp
+++ b/packages/decision/src/budget/lender.cpp
@@ -1,6 +1,7 @@
 // Lending: deducts before a grant is sent, and takes back when a loan is returned or due.
 #include <algorithm>
 #include <mutex>
+#include <utility>
 
 #include "rounds.hpp"
 
@@ -10,6 +11,16 @@
 // A borrower that was asked for a return is asked again only after this time, in case the message was lost.
 constexpr duration recall_period = std::chrono::milliseconds(250);
 
+constexpr std::size_t waiting_limit = 16;
+// Waiting borrowers are told of spare from a tenth of the own allocation on.
+constexpr std::int64_t worth_divisor = 10;
+
+bool is_worth_lending(const budget_state& state, const share& spare)
+{
+    const bool rate = spare.rate > 0 && spare.rate * worth_divisor >= state.own.rate;
+    return rate || (spare.burst > 0 && spare.burst * worth_divisor >= state.own.burst);
+}
+
 loan_given* find_given(budget_state& state, const envelope& message, std::uint64_t loan)
 {
     const auto found = std::find_if(state.given.begin(), state.given.end(), [&](const loan_given& given) {
@@ -75,7 +86,8 @@
 
 bool needs_own(const budget_ledger& ledger, const budget_state& state)
 {
-    return !ledger.leaving && !covers(state.own - state.lent, at_most(wanted_share(state, false), state.own));
+    return !ledger.leaving &&
+           !covers(state.own - state.lent, at_most(wanted_share(state, demand_view::kept), state.own));
 }
 
 void renew(budget_ledger& ledger, budget_state& state, loan_given& loan, const envelope& message,
@@ -106,8 +118,34 @@
     send_grant(ledger, message, request, amount_of(loan), out);
 }
 
+void add_waiting(budget_ledger& ledger, budget_state& state, instance_id borrower)
+{
+    const bool is_new =
+        std::find(state.waiting.begin(), state.waiting.end(), borrower) == state.waiting.end();
+    if (is_new && state.waiting.size() < waiting_limit) {
+        state.waiting.push_back(borrower);
+        ledger.active.insert(state.total.id);
+    }
+}
+
 } // namespace
 
+void notify_waiting(const budget_ledger& ledger, budget_state& state, time_point now, outbox& out)
+{
+    if (state.waiting.empty()) {
+        return;
+    }
+    const share spare = spare_of(ledger, state, now);
+    if (!is_worth_lending(state, spare)) {
+        return;
+    }
+    for (const instance_id borrower : std::exchange(state.waiting, {})) {
+        spare_report report;
+        report.entries.push_back({state.total.id, ledger.settings.self, spare.rate, spare.burst});
+        send(ledger, borrower, std::move(report), out);
+    }
+}
+
 void expire_given(const budget_ledger& ledger, budget_state& state, time_point now)
 {
     const auto due = std::partition(state.given.begin(), state.given.end(),
@@ -118,13 +156,16 @@
     state.given.erase(due, state.given.end());
 }
 
-void recall_loans(const budget_ledger& ledger, budget_state& state, share needed, loan_recall how,
+void recall_loans(const budget_ledger& ledger, budget_state& state, share needed, const recall_for& why,
                   time_point now, outbox& out)
 {
     for (loan_given& loan : state.given) {
         if (is_zero(needed)) {
             return;
         }
+        if (loan.borrower == why.asking) {
+            continue;
+        }
         needed = needed - loan.amount;
         if (now - loan.recalled < recall_period) {
             continue;
@@ -133,7 +174,7 @@
         loan_grant recall;
         recall.loan = loan.loan;
         recall.budget = state.total.id;
-        recall.recall = how;
+        recall.recall = why.how;
         send(ledger, loan.borrower, recall, out);
     }
 }
@@ -161,7 +202,10 @@
         grant(ledger, state, message, body, amount, now, out);
     }
     if (amount != wanted) {
-        recall_loans(ledger, state, wanted - amount, loan_recall::if_unused, now, out);
+        add_waiting(ledger, state, message.from);
+    }
+    if (amount.rate * 2 < wanted.rate || amount.burst * 2 < wanted.burst) {
+        recall_loans(ledger, state, wanted - amount, {loan_recall::if_unused, message.from}, now, out);
         send_known_owners(ledger, state, message.from, now, out);
     }
 }
--- a/packages/decision/src/budget/pools.cpp
+++ b/packages/decision/src/budget/pools.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t pool_shards = 8;
 constexpr duration report_period = std::chrono::seconds(1);
 constexpr duration report_lifetime = std::chrono::seconds(10);
+// An owner without spare is worth asking again soon, and it tells those that it had to refuse.
+constexpr duration none_lifetime = std::chrono::seconds(1);
 constexpr std::size_t entries_per_message = 1000; ///< Keeps a message well below the frame limit.
 constexpr std::size_t known_owners_limit = 16;
 constexpr std::int64_t reported_change = 4; ///< Reported is a change by a quarter of the own allocation.
@@ -130,8 +132,11 @@
 share known_spare(const budget_ledger& ledger, const budget_state& state, instance_id owner, time_point now)
 {
     const auto view = state.owners.find(owner);
-    if (view != state.owners.end() && view->second.spare && now - view->second.reported < report_lifetime) {
-        return *view->second.spare;
+    if (view != state.owners.end() && view->second.spare) {
+        const bool is_none = is_zero(*view->second.spare);
+        if (now - view->second.reported < (is_none ? none_lifetime : report_lifetime)) {
+            return *view->second.spare;
+        }
     }
     // Nothing is heard of idle owners; each is assumed to have all of its allocation to lend.
     share assumed;
@@ -160,7 +165,7 @@
     }
 }
 
-void on_spare_report(budget_ledger& ledger, const spare_report& body, time_point now)
+void on_spare_report(budget_ledger& ledger, const envelope& message, const spare_report& body, time_point now)
 {
     for (const spare_report::entry& entry : body.entries) {
         const auto found = ledger.budgets.find(entry.budget);
@@ -170,6 +175,12 @@
         owner_view& view = found->second.owners[entry.owner];
         view.spare = share{entry.spare_rate_per_second, entry.spare_burst};
         view.reported = now;
+        if (entry.owner == message.from && !is_zero(*view.spare)) {
+            // Perhaps told because this instance waits for it.
+            view.not_before = now;
+            view.backoff = {};
+            found->second.next_round = now;
+        }
     }
 }
 
--- a/packages/decision/src/budget/rounds.hpp
+++ b/packages/decision/src/budget/rounds.hpp
@@ -53,10 +53,17 @@
 void rebase(const budget_ledger& ledger, budget_state& state, time_point now);
 
 /// Reads the account's counters into the estimate.
-void update_demand(budget_state& state, time_point now);
+/// @param is_short whether the account refused or came close to it since the last look.
+void update_demand(budget_state& state, bool is_short, time_point now);
 
-/// @return what the demand calls for, at most the total. Follows falling demand quickly if @p fast_only.
-share wanted_share(const budget_state& state, bool fast_only);
+enum class demand_view : std::uint8_t {
+    wanted, ///< With a margin, to borrow for.
+    kept,   ///< The least that is kept from lending, and that loans are recalled for.
+    latest, ///< Kept, by the fast average alone: whether the callers have gone.
+};
+
+/// @return what the demand calls for, at most the total.
+share wanted_share(const budget_state& state, demand_view view);
 
 /// @return what could be lent now.
 share spare_of(const budget_ledger& ledger, const budget_state& state, time_point now);
@@ -64,10 +71,18 @@
 /// Ends given loans that are due.
 void expire_given(const budget_ledger& ledger, budget_state& state, time_point now);
 
+struct recall_for {
+    loan_recall how = loan_recall::always;
+    instance_id asking; ///< The borrower that is short; its own loans are left.
+};
+
 /// Asks for given loans to be returned, up to @p needed.
-void recall_loans(const budget_ledger& ledger, budget_state& state, share needed, loan_recall how,
+void recall_loans(const budget_ledger& ledger, budget_state& state, share needed, const recall_for& why,
                   time_point now, outbox& out);
 
+/// Tells borrowers that were refused a loan once there is spare again.
+void notify_waiting(const budget_ledger& ledger, budget_state& state, time_point now, outbox& out);
+
 /// Renews, returns and requests loans.
 void run_borrower(budget_ledger& ledger, budget_state& state, time_point now, outbox& out);
 
@@ -82,7 +97,8 @@
 void on_loan_grant(budget_ledger& ledger, const envelope& message, const loan_grant& body, time_point now,
                    outbox& out);
 void on_loan_return(budget_ledger& ledger, const envelope& message, const loan_return& body, time_point now);
-void on_spare_report(budget_ledger& ledger, const spare_report& body, time_point now);
+void on_spare_report(budget_ledger& ledger, const envelope& message, const spare_report& body,
+                     time_point now);
 
 /// Finds members and pool instances again if the live members changed.
 void update_live(budget_ledger& ledger, std::span<const member_record> live);
