--- a/packages/decision/tests/support/budget_fleet.hpp
+++ b/packages/decision/tests/support/budget_fleet.hpp
@@ -340,7 +340,7 @@
     // Work of random length on the permits; its callers stay near one instance for a while.
     void use_permit()
     {
-        if (chance(callers_, 2)) {
+        if (chance(callers_, 15)) {
             permit_home_ = uniform(callers_, fleet_.size());
         }
         const std::size_t index = serving_from(permit_home_);
@@ -353,7 +353,7 @@
                 ++permits_refused_;
             }
         }
-        fleet_.at(fleet_.now() + exponential(callers_, std::chrono::milliseconds(60)),
+        fleet_.at(fleet_.now() + exponential(callers_, std::chrono::milliseconds(45)),
                   [this] { use_permit(); });
     }
     void start_work(std::size_t index, const std::shared_ptr<budget_account>& account, duration length)
