Add the encoding of messages, the handshake and peer connections

Daemons exchange messages.hpp as msgpack arrays: fields beyond the known ones are ignored, so that a newer peer can add some at the end. Element counts are bounded by the frame's own size before anything is allocated.

Both sides prove the fleet secret by HMAC over both nonces and the connecting side's address. Each frame ends with 16 bytes of HMAC over an implicit counter and the payload, under a key of this connection, so a repeated, reordered or changed frame is refused. A message must come from the proved address.

Each side opens its own connection for what it sends. The receiver answers one byte per frame; without it for 2 s the connection is replaced, since a path that lost its state takes frames forever. Messages older than 3 s are dropped.

--- a/packages/kernel/src/services.cpp
+++ b/packages/kernel/src/services.cpp
@@ -1,7 +1,6 @@
 #include "camphorknot/kernel/services.hpp"
 
 #include <algorithm>
-#include <ranges>
 
 namespace camphorknot {
 namespace {
@@ -66,11 +65,12 @@
 
 void stop_services(service_registry& registry)
 {
-    for (const auto& entry : registry.entries | std::views::reverse) {
-        if (entry->running && entry->functions.stop) {
-            entry->functions.stop();
+    for (auto position = registry.entries.rbegin(); position != registry.entries.rend(); ++position) {
+        service_registry::entry& entry = **position;
+        if (entry.running && entry.functions.stop) {
+            entry.functions.stop();
         }
-        entry->running = false;
+        entry.running = false;
     }
 }
 
--- /dev/null
+++ b/packages/transport/include/camphorknot/transport.hpp
@@ -0,0 +1,7 @@
+/// @file
+/// Messages between daemons: msgpack in length-prefixed TCP frames, after a proof of the fleet secret.
+#pragma once
+
+#include "camphorknot/transport/codec.hpp"
+#include "camphorknot/transport/handshake.hpp"
+#include "camphorknot/transport/peer_network.hpp"
--- /dev/null
+++ b/packages/transport/src/links.cpp
@@ -0,0 +1,181 @@
+#include "network_state.hpp"
+
+namespace camphorknot::transport_internal {
+namespace {
+
+constexpr std::size_t handshake_limit = 1024;
+
+// Frames that are written with one system call.
+constexpr std::size_t batch_bytes = 65'536;
+
+void drop_stale(peer_network& network, peer_link& link)
+{
+    const time_point now = boot_now();
+    while (!link.queue.empty() && now - link.queue.front().queued_at > network.settings.message_lifetime) {
+        link.queue.pop_front();
+        network.counters.dropped_stale->fetch_add(1, std::memory_order_relaxed);
+    }
+}
+
+struct opened_link {
+    socket_handle stream;
+    frame_sealer sealer;
+};
+
+// Connects and proves the secret both ways. Returns a null stream if that fails.
+awaitable<opened_link> open_link(peer_network& network, link_handle link)
+{
+    opened_link opened;
+    const std::optional<tcp::endpoint> endpoint = parse_endpoint(link->address);
+    if (!endpoint) {
+        co_return opened;
+    }
+    const socket_handle stream = make_socket(network);
+    stream->deadline = boot_now() + network.settings.handshake_timeout;
+    network.counters.connects->fetch_add(1, std::memory_order_relaxed);
+    error_code ec;
+    co_await stream->socket.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec) {
+        co_return opened;
+    }
+    stream->socket.set_option(tcp::no_delay(true), ec);
+    hello_message hello;
+    hello.nonce = make_nonce();
+    hello.peer_address = network.settings.address;
+    std::string hello_bytes = encode(hello);
+    const bool greeted = co_await write_frame(stream, std::move(hello_bytes));
+    if (!greeted) {
+        co_return opened;
+    }
+    const frame_read answer = co_await read_frame(stream, handshake_limit);
+    if (answer.ended) {
+        co_return opened;
+    }
+    const auto challenge = decode_challenge(answer.bytes);
+    if (!challenge || answer.error != transport_error::none) {
+        count_error(network, answer.error == transport_error::none ? challenge.reason : answer.error);
+        co_return opened;
+    }
+    const handshake_transcript transcript{hello.nonce, challenge->nonce, hello.peer_address};
+    const std::string& secret = network.settings.fleet_secret;
+    if (!is_right_proof(secret, transcript, handshake_side::accepting, challenge->proof)) {
+        count_error(network, transport_error::wrong_proof);
+        co_return opened;
+    }
+    const proof_message proof{make_proof(secret, transcript, handshake_side::connecting)};
+    std::string proof_bytes = encode(proof);
+    const bool proved = co_await write_frame(stream, std::move(proof_bytes));
+    if (proved) {
+        stream->deadline = time_point::max();
+        opened.stream = stream;
+        opened.sealer = make_sealer(secret, transcript);
+    }
+    co_return opened;
+}
+
+void mark_broken(peer_socket& stream, peer_link& link)
+{
+    stream.broken = true;
+    error_code ignored;
+    stream.socket.close(ignored);
+    link.wake.cancel();
+}
+
+// Each byte acknowledges one frame. Without it, a connection whose path lost its state would take frames
+// forever.
+awaitable<void> read_acknowledgements(peer_network& network, link_handle link, socket_handle stream)
+{
+    std::array<char, 256> bytes{};
+    error_code ec;
+    while (!ec) {
+        const std::size_t got = co_await stream->socket.async_read_some(
+            asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ec));
+        stream->acknowledged += got;
+        const bool all = stream->acknowledged >= stream->sent;
+        stream->deadline = all ? time_point::max() : boot_now() + network.settings.silence_limit;
+    }
+    if (stream->acknowledged < stream->sent) {
+        network.counters.silent->fetch_add(1, std::memory_order_relaxed);
+    }
+    mark_broken(*stream, *link);
+}
+
+std::string take_batch(peer_network& network, peer_link& link, opened_link& opened)
+{
+    std::string batch;
+    while (!link.queue.empty() && batch.size() < batch_bytes) {
+        const std::string frame = seal(opened.sealer, link.queue.front().payload);
+        link.queue.pop_front();
+        for (int shift = 24; shift >= 0; shift -= 8) {
+            batch += static_cast<char>(frame.size() >> static_cast<unsigned>(shift));
+        }
+        batch += frame;
+        ++opened.stream->sent;
+        network.counters.sent->fetch_add(1, std::memory_order_relaxed);
+    }
+    network.counters.sent_bytes->fetch_add(batch.size(), std::memory_order_relaxed);
+    return batch;
+}
+
+// Returns when the connection broke or was idle for long.
+awaitable<void> send_queued(peer_network& network, link_handle link, opened_link opened)
+{
+    const socket_handle stream = opened.stream;
+    asio::co_spawn(network.io, read_acknowledgements(network, link, stream), asio::detached);
+    while (!stream->broken) {
+        drop_stale(network, *link);
+        if (link->queue.empty()) {
+            link->wake.expires_after(network.settings.idle_limit);
+            error_code ec;
+            co_await link->wake.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+            if (!ec && link->queue.empty()) {
+                break;
+            }
+            continue;
+        }
+        if (stream->acknowledged >= stream->sent) {
+            stream->deadline = boot_now() + network.settings.silence_limit;
+        }
+        const std::string batch = take_batch(network, *link, opened);
+        error_code ec;
+        co_await asio::async_write(stream->socket, asio::buffer(batch),
+                                   asio::redirect_error(asio::use_awaitable, ec));
+        if (ec) {
+            break;
+        }
+    }
+    error_code ignored;
+    stream->socket.close(ignored);
+}
+
+duration jittered(peer_network& network, duration backoff)
+{
+    const auto half = static_cast<std::uint64_t>(backoff.count() / 2);
+    return duration(static_cast<duration::rep>(half + uniform(network.random, half + 1)));
+}
+
+} // namespace
+
+awaitable<void> run_link(peer_network& network, link_handle link)
+{
+    duration backoff = network.settings.first_backoff;
+    asio::steady_timer pause(network.io);
+    while (!link->queue.empty()) {
+        const opened_link opened = co_await open_link(network, link);
+        link->unreachable = opened.stream == nullptr;
+        if (!link->unreachable) {
+            backoff = network.settings.first_backoff;
+            co_await send_queued(network, link, opened);
+        } else {
+            network.counters.connect_failures->fetch_add(1, std::memory_order_relaxed);
+            pause.expires_after(jittered(network, backoff));
+            error_code ec;
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+            backoff = std::min(backoff * 2, network.settings.longest_backoff);
+        }
+        drop_stale(network, *link);
+    }
+    link->running = false;
+}
+
+} // namespace camphorknot::transport_internal
--- /dev/null
+++ b/packages/transport/src/network_state.hpp
@@ -0,0 +1,115 @@
+// State of the peer network; all members but the directory's users belong to its thread.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <deque>
+#include <thread>
+#include <unordered_map>
+
+#include "camphorknot/core/random.hpp"
+#include "camphorknot/kernel/clock.hpp"
+#include "camphorknot/transport.hpp"
+
+namespace camphorknot {
+namespace transport_internal {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+template <typename T>
+using awaitable = asio::awaitable<T>;
+
+/// Socket that the sweep closes once its deadline has passed.
+struct peer_socket {
+    explicit peer_socket(asio::io_context& io) : socket(io) {}
+    tcp::socket socket;
+    time_point deadline = time_point::max();
+    std::uint64_t sent = 0; ///< Frames sent; each is acknowledged by one byte.
+    std::uint64_t acknowledged = 0;
+    bool broken = false;
+};
+using socket_handle = std::shared_ptr<peer_socket>;
+
+struct queued_message {
+    std::string payload;
+    bool is_gossip = false;
+    time_point queued_at{};
+};
+
+/// What waits for one peer.
+struct peer_link {
+    explicit peer_link(asio::io_context& io) : wake(io) {}
+    std::string address;
+    std::deque<queued_message> queue;
+    asio::steady_timer wake; ///< Its wait is cancelled when something was queued or the connection broke.
+    bool running = false;    ///< Its coroutine is active.
+    bool unreachable = false;
+};
+using link_handle = std::shared_ptr<peer_link>;
+
+struct network_counters {
+    std::array<std::atomic<std::uint64_t>*, transport_error_count> errors{};
+    std::atomic<std::uint64_t>* sent = nullptr;
+    std::atomic<std::uint64_t>* received = nullptr;
+    std::atomic<std::uint64_t>* sent_bytes = nullptr;
+    std::atomic<std::uint64_t>* dropped_gossip = nullptr;
+    std::atomic<std::uint64_t>* dropped_other = nullptr;
+    std::atomic<std::uint64_t>* dropped_stale = nullptr;
+    std::atomic<std::uint64_t>* dropped_unknown = nullptr;
+    std::atomic<std::uint64_t>* connects = nullptr;
+    std::atomic<std::uint64_t>* connect_failures = nullptr;
+    std::atomic<std::uint64_t>* silent = nullptr;
+};
+
+} // namespace transport_internal
+
+struct peer_network {
+    explicit peer_network(peer_network_settings used) : settings(std::move(used)), acceptor(io) {}
+    peer_network_settings settings;
+    std::function<void(const envelope&)> on_message;
+    transport_internal::network_counters counters;
+    random_source random;
+    std::unordered_map<instance_id, std::string> directory;
+    std::unordered_map<instance_id, transport_internal::link_handle> links;
+    std::vector<std::weak_ptr<transport_internal::peer_socket>> sockets;
+    std::size_t inbound = 0;
+    transport_internal::asio::io_context io{1};
+    transport_internal::tcp::acceptor acceptor;
+    std::thread thread;
+};
+
+namespace transport_internal {
+
+void count_error(const peer_network& network, transport_error error);
+std::optional<tcp::endpoint> parse_endpoint(std::string_view address);
+
+/// @return a socket that the sweep watches.
+socket_handle make_socket(peer_network& network);
+
+awaitable<bool> write_frame(socket_handle stream, std::string payload);
+
+struct frame_read {
+    std::string bytes;
+    transport_error error = transport_error::none;
+    bool ended = false; ///< The connection ended.
+};
+awaitable<frame_read> read_frame(socket_handle stream, std::size_t limit);
+
+/// Sends what is queued for a peer until nothing was queued for a while.
+awaitable<void> run_link(peer_network& network, link_handle link);
+
+/// Receives messages on a connection that a peer opened.
+awaitable<void> serve_peer(peer_network& network, socket_handle stream);
+
+} // namespace transport_internal
+} // namespace camphorknot
