Add the clients of the platform

The node asks for table reads, transactions, operation reads and objects as plain structs. Each request has a fresh connection, so that a failed connect proves that nothing was done; any loss after it is unknown, and so is a server error other than 503. Operation ids travel as text, since JSON readers may hold numbers as doubles.

--- /dev/null
+++ b/packages/platform/tests/platform_test.cpp
@@ -0,0 +1,118 @@
+#include <catch2/catch.hpp>
+
+#include <future>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+#include "camphorknot/platform.hpp"
+
+using namespace camphorknot;
+
+namespace {
+
+const platform_call transaction_call{
+    7, table_transaction{18'446'744'073'709'551'615ULL, {{"config/head", 3}}, {{"config/head", "4"}}}};
+
+// Listens on 127.0.0.1 and answers the first connection with @c answer; an empty answer closes it.
+struct one_answer_server {
+    explicit one_answer_server(std::string answer)
+        : listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        void* generic = &address;
+        socklen_t length = sizeof address;
+        REQUIRE(::bind(listener, static_cast<sockaddr*>(generic), length) == 0);
+        REQUIRE(::listen(listener, 1) == 0);
+        ::getsockname(listener, static_cast<sockaddr*>(generic), &length);
+        url = "http://127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+        thread = std::thread([this, answer = std::move(answer)] {
+            const int accepted = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+            std::array<char, 4096> space{};
+            const ssize_t got = ::recv(accepted, space.data(), space.size(), 0);
+            request.assign(space.data(), static_cast<std::size_t>(std::max<ssize_t>(got, 0)));
+            ::send(accepted, answer.data(), answer.size(), MSG_NOSIGNAL);
+            ::close(accepted);
+        });
+    }
+    ~one_answer_server()
+    {
+        ::shutdown(listener, SHUT_RDWR);
+        thread.join();
+        ::close(listener);
+    }
+    one_answer_server(const one_answer_server&) = delete;
+    one_answer_server& operator=(const one_answer_server&) = delete;
+
+    int listener;
+    std::string url;
+    std::string request;
+    std::thread thread;
+};
+
+table_status call_status(const std::string& url)
+{
+    const metrics_handle page = make_metrics();
+    const auto client = start_platform_client({url, url, url}, *page);
+    REQUIRE(client);
+    std::promise<table_status> ended;
+    async_call(**client, transaction_call,
+               [&ended](const platform_answer& answer) { ended.set_value(answer.answer.status); });
+    return ended.get_future().get();
+}
+
+} // namespace
+
+TEST_CASE("platform: a lost answer is unknown, a failed connect is unavailable", "[platform]")
+{
+    // Guards against a write that took effect but is taken for one that did not, and the reverse.
+    {
+        const one_answer_server broken("");
+        CHECK(call_status(broken.url) == table_status::unknown);
+    }
+    {
+        const one_answer_server cut("HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n{\"status\"");
+        CHECK(call_status(cut.url) == table_status::unknown);
+    }
+    {
+        const one_answer_server whole("HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n{\"status\":\"ok\"}");
+        CHECK(call_status(whole.url) == table_status::ok);
+    }
+    CHECK(call_status("http://127.0.0.1:1") == table_status::unavailable);
+}
+
+TEST_CASE("platform: statuses mean what the protocol says", "[platform]")
+{
+    // Guards against a server error that is taken for proof that nothing was written.
+    const auto status = [](unsigned code) {
+        return read_response(transaction_call, {true, code, "{}"}).status;
+    };
+    CHECK(status(200) == table_status::ok);
+    CHECK(status(409) == table_status::conflict);
+    CHECK(status(503) == table_status::unavailable);
+    CHECK(status(500) == table_status::unknown);
+    CHECK(status(0) == table_status::unknown);
+    const platform_call read{8, table_read{"config/head"}};
+    CHECK(read_response(read, {true, 404, ""}).status == table_status::not_found);
+    CHECK(read_response(read, {true, 200, "{\"row\":1}"}).status == table_status::unknown);
+    const auto row = read_response(read, {true, 200, R"({"row":"config/head","value":"v","version":9})"}).row;
+    REQUIRE(row);
+    CHECK(row->version == 9);
+}
+
+TEST_CASE("platform: requests carry ids without loss and names without confusion", "[platform]")
+{
+    // Guards against operation ids that are rounded, and row names that end the query.
+    const platform_request transaction = make_request(transaction_call);
+    CHECK(transaction.body.find(R"("operation":"18446744073709551615")") != std::string::npos);
+    CHECK(make_request({1, table_read{"move/a&b=c"}}).target == "/table/row?name=move/a%26b%3Dc");
+    const auto list = read_instance_list(R"({"instances":[{"peer_address":"127.0.0.1:1","region":"luzon",
+        "failure_domain":"luzon-a","state":"live"},{"peer_address":"127.0.0.1:2","state":"leaving"},{}]})");
+    REQUIRE(list);
+    REQUIRE(list->size() == 1);
+    CHECK(list->front().region == make_id<region_id>("luzon"));
+    CHECK_FALSE(read_instance_list("{}"));
+}
