Add the node: all decision modules of one instance, and its randomised runs

Cause: the modules held alone; the daemon and the randomised runs need one composition that both drive. Change: admission, attempts, look-ups, changes with lost answers resolved by operation id, moves under leases, fleet-wide drain reports, allocations that pass on and go back. Permits of a region belong to its own instances (budget_total::home). Look-ups send a small customer's callers to few instances, as its burst split eight ways leaves each with 1.5 tokens.

--- a/packages/daemon/include/camphorknot/daemon/traffic_server.hpp
+++ b/packages/daemon/include/camphorknot/daemon/traffic_server.hpp
@@ -28,7 +28,7 @@
     std::function<admission_answer(const request_head&, time_point)> admit;
     std::function<attempt_answer(const admitted_request&, std::span<const target_id>, time_point)>
         begin_attempt;
-    std::function<retry_answer(const admitted_request&, const attempt_report&, time_point)> end_attempt;
+    std::function<retry_answer(admitted_request&, const attempt_report&, time_point)> end_attempt;
     std::function<void(const admitted_request&, outcome, std::uint16_t, std::string_view, time_point)>
         end_request;
     std::function<refusal_reason(const admitted_request&, time_point)> must_stop;
--- a/packages/daemon/src/traffic/exchange.cpp
+++ b/packages/daemon/src/traffic/exchange.cpp
@@ -165,7 +165,7 @@
         return {};
     }
     attempt_state.ended = true;
-    const relay_state& request = *attempt_state.request;
+    relay_state& request = *attempt_state.request;
     const time_point now = boot_now();
     attempt_report report;
     report.target = attempt_state.chosen.target.target;
--- a/packages/daemon/src/traffic/node_decisions.cpp
+++ b/packages/daemon/src/traffic/node_decisions.cpp
@@ -13,7 +13,7 @@
                              time_point now) {
         return begin_attempt(*shared, *current(), request, tried, now);
     };
-    made.end_attempt = [=](const admitted_request& request, const attempt_report& report, time_point now) {
+    made.end_attempt = [=](admitted_request& request, const attempt_report& report, time_point now) {
         return end_attempt(*shared, *current(), request, report, now);
     };
     made.end_request = [=](const admitted_request& request, outcome ended, std::uint16_t status,
--- a/packages/daemon/tests/relay_test.cpp
+++ b/packages/daemon/tests/relay_test.cpp
@@ -36,7 +36,7 @@
             answer.next->version_name = "v7";
             return answer;
         };
-        made.end_attempt = [this](const admitted_request&, const attempt_report& report, time_point) {
+        made.end_attempt = [this](admitted_request&, const attempt_report& report, time_point) {
             return end_attempt(report);
         };
         made.end_request = [this](const admitted_request&, outcome run, std::uint16_t, std::string_view,
--- a/packages/decision/include/camphorknot/budget.hpp
+++ b/packages/decision/include/camphorknot/budget.hpp
@@ -17,7 +17,7 @@
 
 /// Sets the instances that own allocations (equal shares) and changes of owner. Decreases of this instance's
 /// own allocation apply at once, increases after @p rise_delay.
-void set_owners(budget_ledger& ledger, std::span<const instance_id> slots,
+void set_owners(budget_ledger& ledger, std::span<const allocation_slot> slots,
                 std::span<const allocation_owner> owners, duration rise_delay, time_point now);
 
 /// Adds the budget or changes its total; a decrease applies at once, an increase after @p rise_delay.
--- a/packages/decision/include/camphorknot/budget/ledger.hpp
+++ b/packages/decision/include/camphorknot/budget/ledger.hpp
@@ -119,7 +119,9 @@
     bool own_allowed = false;
     bool leaving = false;
     std::uint64_t loans = 0; ///< Requested so far.
-    std::vector<instance_id> slots;
+    std::vector<allocation_slot> slots;
+    std::vector<std::int64_t> home_ranks; ///< Of each slot among those of its region.
+    std::unordered_map<region_id, std::int64_t> home_counts;
     std::unordered_map<instance_id, instance_id> slot_owners; ///< Where changed.
     std::vector<std::size_t> own_slots; ///< Indices of the slots owned by this instance.
     std::unordered_map<instance_id, std::vector<std::size_t>> lenders; ///< Other owners and their slots.
--- a/packages/decision/include/camphorknot/budget/settings.hpp
+++ b/packages/decision/include/camphorknot/budget/settings.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "camphorknot/core.hpp"
 #include "camphorknot/messages.hpp"
@@ -15,13 +16,16 @@
 
 /// A total that all instances together never exceed.
 struct budget_total {
-    budget_id id;
+    budget_id id{};
     budget_kind kind = budget_kind::rate;
-    budget_amount total;
+    budget_amount total{};
     /// Longest time between try_take and give_back, for budgets in flight. A lent permit may be in use this
     /// long after the end of its loan's term, so the lender counts it for the term plus this time unless the
     /// borrower returns it before.
     duration longest_use = std::chrono::seconds(10);
+    /// Region whose slots own the budget; absent if all slots do. A region's permits belong to its own
+    /// instances: split over the whole fleet, 14 permits leave most instances with one.
+    std::optional<region_id> home{};
 };
 
 struct ledger_settings {
@@ -48,6 +52,12 @@
     instance_id owner;
 };
 
+/// An instance that owns an allocation of every budget, or of those of its region.
+struct allocation_slot {
+    instance_id instance;
+    region_id region;
+};
+
 /// Result of asking a budget for an amount.
 struct admission {
     bool admitted = false;
--- a/packages/decision/include/camphorknot/messages.hpp
+++ b/packages/decision/include/camphorknot/messages.hpp
@@ -188,12 +188,21 @@
     std::vector<entry> entries;
 };
 
+/// Requests in flight to the targets of a drain. Instances report to one instance of their region, which
+/// reports the region's sum to the instance that advances the drain.
+struct drain_report {
+    move_id move;
+    count_scope scope = count_scope::instance;
+    region_id region; ///< Region of the sender.
+    std::uint64_t in_flight = 0;
+};
+
 /// The sender has stopped and uses no allocation of any budget from here on.
 struct leave {};
 
-using peer_message =
-    std::variant<ping, ping_ack, indirect_ping, gossip, change_request, change_reply, loan_request,
-                 loan_grant, loan_return, spare_report, fence_notice, fence_ack, rollout_counts, leave>;
+using peer_message = std::variant<ping, ping_ack, indirect_ping, gossip, change_request, change_reply,
+                                  loan_request, loan_grant, loan_return, spare_report, fence_notice,
+                                  fence_ack, rollout_counts, leave, drain_report>;
 
 /// A message with its sender and receiver.
 struct envelope {
--- a/packages/decision/include/camphorknot/node.hpp
+++ b/packages/decision/include/camphorknot/node.hpp
@@ -5,3 +5,4 @@
 
 #include "camphorknot/node/control.hpp"
 #include "camphorknot/node/traffic.hpp"
+#include "camphorknot/node/views.hpp"
--- a/packages/decision/include/camphorknot/node/traffic.hpp
+++ b/packages/decision/include/camphorknot/node/traffic.hpp
@@ -48,7 +48,10 @@
     std::int64_t body_limit_kb = 0;
     std::optional<ticket> shown; ///< Set on non-idempotent routes.
     std::optional<version_id> at_least;
-    key_hash key{};
+    std::optional<version_id> version; ///< Chosen by a rollout for the first attempt.
+    std::optional<key_hash> key;       ///< Absent on open routes.
+    std::uint64_t body_kb = 0;
+    outcome earlier = outcome::not_run; ///< What is known of the attempts that ended; kept by end_attempt.
 };
 
 struct admission_answer {
@@ -82,7 +85,7 @@
 
 /// Ends an attempt. @return whether to begin another one, or the final refusal if the attempt gave no answer
 /// to relay.
-retry_answer end_attempt(traffic_state& shared, const traffic_snapshot& view, const admitted_request& request,
+retry_answer end_attempt(traffic_state& shared, const traffic_snapshot& view, admitted_request& request,
                          const attempt_report& report, time_point now);
 
 /// Records the end of the whole request; for a non-idempotent route also its operation record.
--- a/packages/decision/src/budget/ledger.cpp
+++ b/packages/decision/src/budget/ledger.cpp
@@ -37,6 +37,25 @@
     return own;
 }
 
+struct slot_place {
+    std::int64_t rank = 0;  ///< Among the slots that own the budget.
+    std::int64_t count = 0; ///< Of those slots; 0 if this slot is not one of them.
+};
+
+slot_place place_of(const budget_ledger& ledger, const budget_state& state, std::size_t slot)
+{
+    const auto home =
+        state.total.home ? ledger.home_counts.find(*state.total.home) : ledger.home_counts.end();
+    // A region without instances of its own leaves its permits to all.
+    if (home == ledger.home_counts.end()) {
+        return {static_cast<std::int64_t>(slot), static_cast<std::int64_t>(ledger.slots.size())};
+    }
+    if (ledger.slots[slot].region != home->first) {
+        return {};
+    }
+    return {ledger.home_ranks[slot], home->second};
+}
+
 // Changes the own allocation: decreases at once, increases when due.
 void set_own(budget_ledger& ledger, budget_state& state, duration rise_delay, time_point now)
 {
@@ -159,9 +178,15 @@
 
 share internal::slot_share(const budget_ledger& ledger, const budget_state& state, std::size_t slot)
 {
-    const auto count = static_cast<std::int64_t>(ledger.slots.size());
+    const slot_place found = place_of(ledger, state, slot);
+    if (found.count == 0) {
+        return {};
+    }
+    const std::int64_t count = found.count;
     // The remainder goes to other slots for each budget, so that no instance owns most of the small ones.
-    const auto place = static_cast<std::int64_t>((slot + state.total.id.value) % ledger.slots.size());
+    const auto offset = static_cast<std::int64_t>(state.total.id.value % static_cast<std::uint64_t>(count));
+    const std::int64_t place = (found.rank + offset) % count;
+
     const auto part = [&](std::int64_t total) { return total / count + (place < total % count ? 1 : 0); };
     const budget_amount& total = state.total.total;
     if (state.total.kind == budget_kind::in_flight) {
@@ -195,6 +220,10 @@
     if (now < state.restart_until || !ledger.own_allowed || !has_authority(ledger, now)) {
         return {};
     }
+    // The own allocation shrank below what is lent; nothing more is lent until loans have ended.
+    if (!covers(state.own, state.lent)) {
+        return {};
+    }
     const share needed = ledger.leaving ? share{} : wanted_share(state, demand_view::kept);
     share spare = at_most(lendable_own(ledger, state), state.own - needed);
     if (state.total.kind == budget_kind::rate && !ledger.leaving) {
@@ -210,10 +239,15 @@
     return at_least_zero(spare);
 }
 
-void set_owners(budget_ledger& ledger, std::span<const instance_id> slots,
+void set_owners(budget_ledger& ledger, std::span<const allocation_slot> slots,
                 std::span<const allocation_owner> owners, duration rise_delay, time_point now)
 {
     ledger.slots.assign(slots.begin(), slots.end());
+    ledger.home_counts.clear();
+    ledger.home_ranks.clear();
+    for (const allocation_slot& slot : slots) {
+        ledger.home_ranks.push_back(ledger.home_counts[slot.region]++);
+    }
     ledger.slot_owners.clear();
     for (const allocation_owner& change : owners) {
         ledger.slot_owners[change.slot] = change.owner;
@@ -221,8 +255,9 @@
     ledger.own_slots.clear();
     ledger.lenders.clear();
     for (std::size_t slot = 0; slot < slots.size(); ++slot) {
-        const auto changed = ledger.slot_owners.find(slots[slot]);
-        const instance_id owner = changed == ledger.slot_owners.end() ? slots[slot] : changed->second;
+        const auto changed = ledger.slot_owners.find(slots[slot].instance);
+        const instance_id owner =
+            changed == ledger.slot_owners.end() ? slots[slot].instance : changed->second;
         if (owner == ledger.settings.self) {
             ledger.own_slots.push_back(slot);
         } else {
--- /dev/null
+++ b/packages/decision/src/node/allocations.cpp
@@ -0,0 +1,115 @@
+#include <algorithm>
+
+#include "state.hpp"
+
+namespace camphorknot::internal {
+namespace {
+
+constexpr duration check_period = std::chrono::seconds(1);
+/// A restarted owner is left alone for this long before its allocation goes back, so that one that keeps
+/// failing does not move it to and fro.
+constexpr duration settle_time = std::chrono::seconds(5);
+/// Time after which every region's answers to pings have shown whether they name a fenced incarnation.
+constexpr duration acknowledgement_time = std::chrono::seconds(3);
+
+std::vector<instance_object> slots_of(const node& state)
+{
+    return objects_of<instance_object>(in_force(state.versions));
+}
+
+const allocation_object* find_allocation(const node& state, const std::string& slot)
+{
+    const auto& objects = in_force(state.versions).objects;
+    const auto found = objects.find({object_kind::allocation, slot});
+    return found == objects.end() ? nullptr : std::get_if<allocation_object>(&found->second);
+}
+
+bool is_live(const node& state, instance_id instance)
+{
+    const auto& live = live_members(state.members);
+    return std::ranges::find(live, instance, &member_record::instance) != live.end();
+}
+
+// The instance that takes over is chosen by rendezvous, so that one proposal is made rather than one by each.
+bool is_chosen(const node& state, instance_id slot)
+{
+    return choose_by_rendezvous(state.members, slot.value, std::nullopt, std::nullopt) == state.self;
+}
+
+// The slot's present owner, which need not be the instance listed for it.
+std::string owner_of(const node& state, const instance_object& slot)
+{
+    const allocation_object* moved = find_allocation(state, slot.peer_address);
+    return moved == nullptr ? slot.peer_address : moved->owner;
+}
+
+std::optional<allocation_object> slot_to_take(node& state)
+{
+    for (const instance_object& slot : slots_of(state)) {
+        const std::string owner = owner_of(state, slot);
+        const auto owner_id = make_id<instance_id>(owner);
+        const bool stopped = state.allocations_to_take.contains(owner_id) && !is_live(state, owner_id);
+        if (stopped && is_chosen(state, make_id<instance_id>(slot.peer_address))) {
+            return allocation_object{slot.peer_address, state.settings.peer_address};
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<object_key> slot_to_give_back(const node& state, time_point now)
+{
+    for (const allocation_object& moved : objects_of<allocation_object>(in_force(state.versions))) {
+        const auto listed = state.live_since.find(make_id<instance_id>(moved.slot));
+        const bool settled = listed != state.live_since.end() && now - listed->second >= settle_time;
+        if (moved.owner == state.settings.peer_address && moved.slot != moved.owner && settled) {
+            return object_key{object_kind::allocation, moved.slot};
+        }
+    }
+    return std::nullopt;
+}
+
+// After a fence only the table can say whether the own allocation was given away; claiming it settles that.
+bool must_claim(const node& state, time_point now)
+{
+    const bool listed = std::ranges::any_of(slots_of(state), [&](const instance_object& slot) {
+        return slot.peer_address == state.settings.peer_address;
+    });
+    const bool acknowledged = now - state.authority_since >= acknowledgement_time;
+    return listed && acknowledged && !owns_allocation_without_table(state.members) &&
+           find_allocation(state, state.settings.peer_address) == nullptr;
+}
+
+void update_permission(node& state, time_point now)
+{
+    const allocation_object* own = find_allocation(state, state.settings.peer_address);
+    const bool claimed = own != nullptr && own->owner == state.settings.peer_address;
+    allow_own_allocation(state.ledger, claimed || owns_allocation_without_table(state.members), now);
+}
+
+} // namespace
+
+void tick_allocations(node& state, time_point now, node_output& out)
+{
+    update_permission(state, now);
+    if (now < state.next_allocation_check || !has_authority(state.members, now) ||
+        !may_serve(state.versions, state.regions)) {
+        return;
+    }
+    state.next_allocation_check = now + check_period;
+    const auto pending = state.change_results.find(state.allocation_change);
+    if (pending != state.change_results.end() && pending->second.status == change_status::pending) {
+        return;
+    }
+    if (must_claim(state, now)) {
+        const std::string& self = state.settings.peer_address;
+        state.allocation_change = propose_progress(state, {allocation_object{self, self}}, {}, now);
+    } else if (const auto taken = slot_to_take(state)) {
+        add_event(out, "allocation_taken", {{"slot", taken->slot}});
+        state.allocation_change = propose_progress(state, {*taken}, {}, now);
+    } else if (const auto given = slot_to_give_back(state, now)) {
+        add_event(out, "allocation_given_back", {{"slot", given->name}});
+        state.allocation_change = propose_progress(state, {}, {*given}, now);
+    }
+}
+
+} // namespace camphorknot::internal
--- /dev/null
+++ b/packages/decision/src/node/attempts.cpp
@@ -0,0 +1,185 @@
+#include <algorithm>
+#include <array>
+
+#include "camphorknot/node/views.hpp"
+
+namespace camphorknot {
+namespace {
+
+constexpr std::int64_t one_permit = 1000;   ///< Budgets count thousandths.
+constexpr std::int64_t one_kilobyte = 1000; ///< Budgets count thousandths.
+
+std::shared_ptr<budget_account> account_of(const traffic_snapshot& view, budget_id budget)
+{
+    const auto found = view.configured->accounts.find(budget);
+    return found == view.configured->accounts.end() ? nullptr : found->second;
+}
+
+// Permit for one request in the region, and room on the link to it. The last region asked is the one chosen.
+struct permit_taker {
+    const traffic_snapshot& view;
+    std::uint64_t body_kb;
+    time_point now;
+    std::shared_ptr<budget_account> taken;
+
+    bool take(service_id service, region_id region)
+    {
+        release();
+        auto account = account_of(view, region_budget(service, region));
+        if (!account || !try_take(*account, one_permit, now).admitted) {
+            return false;
+        }
+        if (!take_link(region)) {
+            give_back(*account, one_permit);
+            return false;
+        }
+        taken = std::move(account);
+        return true;
+    }
+
+    bool take_link(region_id region) const
+    {
+        if (region == view.region) {
+            return true;
+        }
+        const auto link = account_of(view, link_budget(view.region, region));
+        const auto amount = static_cast<std::int64_t>(body_kb + 1) * one_kilobyte;
+        return !link || try_take(*link, amount, now).admitted;
+    }
+
+    void release()
+    {
+        if (taken) {
+            give_back(*taken, one_permit);
+            taken = nullptr;
+        }
+    }
+};
+
+routing_request make_routing_request(const admitted_request& request, std::span<const target_id> tried)
+{
+    routing_request asked;
+    asked.service = request.service;
+    asked.route = request.route;
+    asked.idempotent = request.idempotent;
+    asked.can_wait = request.can_wait;
+    asked.deadline = request.deadline;
+    asked.timeout = request.timeout;
+    asked.at_least = request.at_least;
+    asked.tried = tried;
+    asked.earlier = request.earlier;
+    // A retry goes to any version in service: the version of a rollout may be the cause of the failure.
+    asked.version = tried.empty() ? request.version : std::nullopt;
+    return asked;
+}
+
+routing_answer choose(traffic_state& shared, routing_request& asked, permit_taker& permits, time_point now)
+{
+    const region_permit permit = [&](service_id service, region_id region) {
+        return permits.take(service, region);
+    };
+    routing_answer answer = choose_target(shared.routing, asked, permit, now);
+    if (!answer.choice && asked.version && answer.why.reason == refusal_reason::no_target) {
+        // The rollout's version has no target with space; the versions in service do its work.
+        permits.release();
+        asked.version = std::nullopt;
+        answer = choose_target(shared.routing, asked, permit, now);
+    }
+    if (!answer.choice) {
+        permits.release();
+    }
+    return answer;
+}
+
+attempt describe(traffic_state& shared, const traffic_snapshot& view, const routing_request& asked,
+                 const target_choice& choice, time_point now)
+{
+    attempt next;
+    next.target = choice;
+    if (const auto target = view.configured->targets.find(choice.target);
+        target != view.configured->targets.end()) {
+        next.address = target->second.address;
+        next.version_name = target->second.version_name;
+    }
+    next.connection_generation = connection_generation(shared.routing, choice.target);
+    next.oldest_trusted_generation = oldest_trusted_generation(shared.routing, choice.target);
+    next.hedge_after = hedge_delay(shared.routing, asked, now);
+    return next;
+}
+
+bool counts_as_failure(attempt_result result)
+{
+    return result == attempt_result::server_error || result == attempt_result::broken ||
+           result == attempt_result::timed_out;
+}
+
+outcome known_of(attempt_result result)
+{
+    switch (result) {
+    case attempt_result::shed_before_run:
+    case attempt_result::connect_failed:
+        return outcome::not_run;
+    case attempt_result::answered:
+    case attempt_result::server_error:
+        return outcome::ran;
+    case attempt_result::broken:
+    case attempt_result::timed_out:
+    case attempt_result::cancelled:
+        break;
+    }
+    return outcome::unknown;
+}
+
+// Orders what is known of a request's attempts: one that ran outweighs one that may have run.
+bool more_may_have_run(outcome a, outcome b)
+{
+    constexpr std::array<int, 3> rank = {0, 2, 1}; // not_run, ran, unknown
+    return rank[static_cast<std::size_t>(a)] < rank[static_cast<std::size_t>(b)];
+}
+
+} // namespace
+
+attempt_answer begin_attempt(traffic_state& shared, const traffic_snapshot& view,
+                             const admitted_request& request, std::span<const target_id> tried,
+                             time_point now)
+{
+    routing_request asked = make_routing_request(request, tried);
+    permit_taker permits{view, request.body_kb, now, nullptr};
+    const std::lock_guard lock(shared.routing_mutex);
+    const routing_answer answer = choose(shared, asked, permits, now);
+    if (!answer.choice) {
+        return {std::nullopt, answer.why};
+    }
+    shared.permits.emplace(answer.choice->target, std::move(permits.taken));
+    return {describe(shared, view, asked, *answer.choice, now), {}};
+}
+
+retry_answer end_attempt(traffic_state& shared, const traffic_snapshot&, admitted_request& request,
+                         const attempt_report& report, time_point now)
+{
+    if (report.result != attempt_result::cancelled && report.result != attempt_result::shed_before_run) {
+        const std::lock_guard lock(shared.rollout_mutex);
+        count_outcome(shared.rollout, report.service, report.route, report.version,
+                      counts_as_failure(report.result), report.latency, report.request_kb, now);
+    }
+    const std::lock_guard lock(shared.routing_mutex);
+    on_attempt_end(shared.routing, report, now);
+    if (const auto permit = shared.permits.find(report.target); permit != shared.permits.end()) {
+        if (permit->second) {
+            give_back(*permit->second, one_permit);
+        }
+        shared.permits.erase(permit);
+    }
+    const retry_answer answer = decide_retry(shared.routing, make_routing_request(request, {}), report, now);
+    request.earlier = std::max(request.earlier, known_of(report.result), more_may_have_run);
+    return answer;
+}
+
+void report_silent_connection(traffic_state& shared, target_id target, std::uint64_t generation,
+                              bool fresh_connection_works)
+{
+    const std::lock_guard lock(shared.routing_mutex);
+    on_silent_connection(shared.routing, target, generation, fresh_connection_works);
+}
+
+} // namespace camphorknot
--- /dev/null
+++ b/packages/decision/src/node/lookups.cpp
@@ -0,0 +1,205 @@
+#include <algorithm>
+
+#include "camphorknot/node/views.hpp"
+
+namespace camphorknot {
+namespace {
+
+constexpr duration lookup_time_to_live = std::chrono::seconds(2);
+constexpr duration lookup_retry_after = std::chrono::milliseconds(500);
+constexpr std::size_t most_named_instances = 8;
+constexpr std::uint32_t default_weight = 1;
+/// Tokens that an instance needs to even out the arrivals of one customer.
+constexpr std::int64_t burst_per_instance = 16;
+
+struct candidate {
+    const member_record* member = nullptr;
+    std::uint32_t weight = default_weight;
+};
+
+const route_view* find_route(const traffic_snapshot& view, std::string_view service, std::string_view route)
+{
+    const auto found = std::ranges::find_if(view.configured->routes, [&](const route_view& entry) {
+        return view.configured->services[entry.service_index].name == service && entry.object.name == route;
+    });
+    return found == view.configured->routes.end() ? nullptr : &*found;
+}
+
+// An instance without authority knows that it is on the smaller side of a partition; instances of its region
+// are there with it, so it names only others.
+bool may_name(const traffic_snapshot& view, const member_record& member, bool self_has_authority)
+{
+    if (member.state != member_state::alive || member.traffic_address.empty()) {
+        return false;
+    }
+    if (member.instance == view.self) {
+        return self_has_authority && !view.leaving;
+    }
+    return member.has_authority && (self_has_authority || member.region != view.region);
+}
+
+const site_set_object* find_sites(const traffic_snapshot& view, std::uint32_t client_address)
+{
+    const auto index = find_site_set(view.blocks, client_address);
+    return index && *index < view.configured->site_sets.size() ? &view.configured->site_sets[*index]
+                                                               : nullptr;
+}
+
+std::vector<candidate> candidates_of_sites(const traffic_snapshot& view, const site_set_object& sites,
+                                           bool self_has_authority)
+{
+    std::vector<candidate> found;
+    for (const auto& site : sites.sites) {
+        const auto domain = make_id<failure_domain_id>(site.failure_domain);
+        for (const member_record& member : view.members) {
+            if (member.failure_domain == domain && may_name(view, member, self_has_authority)) {
+                found.push_back({&member, site.weight});
+            }
+        }
+    }
+    return found;
+}
+
+std::vector<candidate> all_candidates(const traffic_snapshot& view, bool self_has_authority)
+{
+    std::vector<candidate> found;
+    for (const member_record& member : view.members) {
+        if (may_name(view, member, self_has_authority)) {
+            found.push_back({&member, default_weight});
+        }
+    }
+    return found;
+}
+
+std::size_t choose_by_weight(random_source& random, std::span<const candidate> from)
+{
+    std::uint64_t sum = 0;
+    for (const candidate& entry : from) {
+        sum += entry.weight;
+    }
+    std::uint64_t place = uniform(random, sum);
+    for (std::size_t index = 0; index < from.size(); ++index) {
+        if (place < from[index].weight) {
+            return index;
+        }
+        place -= from[index].weight;
+    }
+    return 0;
+}
+
+// Draws by weight without repetition, so that each caller gets another order and the load spreads.
+std::vector<candidate> draw(random_source& random, std::vector<candidate> from)
+{
+    std::vector<candidate> drawn;
+    while (!from.empty() && drawn.size() < most_named_instances) {
+        const std::size_t index = choose_by_weight(random, from);
+        drawn.push_back(from[index]);
+        from[index] = from.back();
+        from.pop_back();
+    }
+    return drawn;
+}
+
+// A customer's burst split over many instances leaves each with a token or two, so that ordinary variation is
+// refused inside the rate. Callers of a small customer are therefore sent to few instances, chosen by
+// rendezvous.
+std::vector<candidate> narrow(const traffic_snapshot& view, std::vector<candidate> from,
+                              const std::optional<key_hash>& key)
+{
+    const key_answer owner = key ? find_customer(view.keys, *key) : key_answer{};
+    const auto customer = view.configured->customers.find(owner.customer);
+    if (owner.status != key_status::valid || customer == view.configured->customers.end()) {
+        return from;
+    }
+    const auto wanted =
+        static_cast<std::size_t>(std::max<std::int64_t>(1, customer->second.burst / burst_per_instance));
+    if (wanted >= from.size()) {
+        return from;
+    }
+    const auto rank = [&](const candidate& entry) {
+        return mix_hash(owner.customer.value, entry.member->instance.value);
+    };
+    std::ranges::partial_sort(from, from.begin() + static_cast<std::ptrdiff_t>(wanted),
+                              std::ranges::greater{}, rank);
+    from.resize(wanted);
+    return from;
+}
+
+refusal refuse(refusal_reason reason, duration retry_after = {})
+{
+    return {reason, outcome::not_run, retry_after};
+}
+
+// A ticket is for the customer of the shown key.
+refusal add_ticket(traffic_state& shared, const traffic_snapshot& view, const route_view& route,
+                   const std::optional<key_hash>& key, const member_record& executing, time_point now,
+                   lookup_answer& answer)
+{
+    if (!key) {
+        return refuse(refusal_reason::key_missing);
+    }
+    const key_answer owner = find_customer(view.keys, *key);
+    if (owner.status != key_status::valid) {
+        return refuse(owner.status == key_status::revoked ? refusal_reason::key_revoked
+                                                          : refusal_reason::key_unknown);
+    }
+    const std::lock_guard lock(shared.operations_mutex);
+    const bool self = executing.instance == view.self;
+    const std::uint64_t nonce = self ? view.process_nonce : executing.process_nonce;
+    const std::uint64_t epoch = self ? current_epoch(shared.operations, now) : executing.ticket_epoch;
+    answer.ticket_to_sign =
+        issue_ticket(shared.operations, executing.instance, nonce, epoch, owner.customer, route.route);
+    return {};
+}
+
+} // namespace
+
+lookup_answer look_up(traffic_state& shared, const traffic_snapshot& view, std::string_view service,
+                      std::string_view route, std::uint32_t client_address,
+                      const std::optional<key_hash>& key, time_point now)
+{
+    lookup_answer answer;
+    if (!view.trusted) {
+        answer.why = refuse(refusal_reason::configuration_missing, lookup_retry_after);
+        return answer;
+    }
+    const route_view* found = find_route(view, service, route);
+    if (found == nullptr) {
+        answer.why = refuse(refusal_reason::route_unknown);
+        return answer;
+    }
+    const bool self_has_authority = has_authority(shared, now);
+    const site_set_object* sites = find_sites(view, client_address);
+    std::vector<candidate> candidates;
+    if (sites != nullptr) {
+        candidates = candidates_of_sites(view, *sites, self_has_authority);
+    }
+    if (candidates.empty()) {
+        candidates = all_candidates(view, self_has_authority);
+    }
+    if (candidates.empty()) {
+        answer.why = refuse(refusal_reason::authority_lost, lookup_retry_after);
+        return answer;
+    }
+    candidates = narrow(view, std::move(candidates), key);
+    {
+        const std::lock_guard lock(shared.lookup_mutex);
+        candidates = draw(shared.lookup_random, std::move(candidates));
+    }
+    if (!found->object.idempotent) {
+        candidates.resize(1);
+        answer.why = add_ticket(shared, view, *found, key, *candidates.front().member, now, answer);
+        if (answer.why.reason != refusal_reason::none) {
+            return answer;
+        }
+    }
+    for (const candidate& entry : candidates) {
+        const bool self = entry.member->instance == view.self;
+        answer.instances.push_back(
+            {self ? view.traffic_address : entry.member->traffic_address, entry.weight});
+    }
+    answer.time_to_live = lookup_time_to_live;
+    return answer;
+}
+
+} // namespace camphorknot
--- a/packages/decision/tests/budget_ledger_test.cpp
+++ b/packages/decision/tests/budget_ledger_test.cpp
@@ -31,9 +31,9 @@
     settings.failure_domain = failure_domain_id{1};
     settings.clock_error_permille = 0;
     budget_ledger ledger = make_ledger(settings, 1, now);
-    std::vector<instance_id> slots;
+    std::vector<allocation_slot> slots;
     for (std::uint64_t i = 1; i <= owners; ++i) {
-        slots.push_back(id_of(i));
+        slots.push_back({id_of(i), region_id{1}});
     }
     set_owners(ledger, slots, {}, 0s, now);
     const std::int64_t share = 100'000;
@@ -274,7 +274,7 @@
     tick(ledger, live, ready + 5s, out);
     CHECK(usable(ledger, customer, ready + 5s).rate_per_second == 200'000);
 
-    const std::vector<instance_id> slots = {id_of(1), id_of(2)};
+    const std::vector<allocation_slot> slots = {{id_of(1), region_id{1}}, {id_of(2), region_id{1}}};
     const std::vector<allocation_owner> taken_over = {{id_of(2), id_of(1)}};
     set_owners(ledger, slots, taken_over, rise_delay, ready + 5s);
     tick(ledger, live, ready + 9900ms, out);
--- a/packages/decision/tests/support/budget_fleet.hpp
+++ b/packages/decision/tests/support/budget_fleet.hpp
@@ -182,12 +182,13 @@
     }
     void apply_owners(budget_ledger& ledger, time_point now, duration rise_delay)
     {
-        std::vector<instance_id> slots;
+        std::vector<allocation_slot> slots;
         std::vector<allocation_owner> owners;
         for (std::size_t i = 0; i < settings_.schedule.places.size(); ++i) {
-            slots.push_back(settings_.schedule.places[i].instance);
+            const placement& place = settings_.schedule.places[i];
+            slots.push_back({place.instance, place.region});
             if (owner_of_[i]) {
-                owners.push_back({slots[i], settings_.schedule.places[*owner_of_[i]].instance});
+                owners.push_back({slots[i].instance, settings_.schedule.places[*owner_of_[i]].instance});
             }
         }
         set_owners(ledger, slots, owners, rise_delay, now);
--- a/packages/transport/src/codec.cpp
+++ b/packages/transport/src/codec.cpp
@@ -73,6 +73,14 @@
 {
     return static_cast<std::uint64_t>(fact_kind::incarnation_fenced);
 }
+constexpr std::uint64_t highest(loan_recall /*unused*/)
+{
+    return static_cast<std::uint64_t>(loan_recall::always);
+}
+constexpr std::uint64_t highest(count_scope /*unused*/)
+{
+    return static_cast<std::uint64_t>(count_scope::fleet);
+}
 
 template <typename T>
 bool read(const msgpack::object& in, T& value);
--- a/packages/transport/src/members.hpp
+++ b/packages/transport/src/members.hpp
@@ -32,7 +32,7 @@
 }
 constexpr auto members(either<ping_ack> auto& m)
 {
-    return std::tie(m.sequence, m.region, m.fenced_number, m.configuration_version);
+    return std::tie(m.sequence, m.region, m.fenced_number, m.configuration_version, m.ticket_epoch);
 }
 constexpr auto members(either<indirect_ping> auto& m)
 {
@@ -41,7 +41,7 @@
 constexpr auto members(either<gossip> auto& m)
 {
     return std::tie(m.records, m.facts, m.records_digest, m.facts_digest, m.configuration_version,
-                    m.reader_age, m.wants_all, m.is_reply);
+                    m.reader_age, m.wants_all, m.is_reply, m.settled);
 }
 constexpr auto members(either<change_request> auto& m)
 {
@@ -61,11 +61,11 @@
 }
 constexpr auto members(either<loan_request> auto& m)
 {
-    return std::tie(m.loan, m.budget, m.wanted, m.term);
+    return std::tie(m.loan, m.budget, m.wanted, m.term, m.round);
 }
 constexpr auto members(either<loan_grant> auto& m)
 {
-    return std::tie(m.loan, m.budget, m.granted, m.term);
+    return std::tie(m.loan, m.budget, m.granted, m.term, m.round, m.recall);
 }
 constexpr auto members(either<loan_return> auto& m)
 {
@@ -73,7 +73,7 @@
 }
 constexpr auto members(either<spare_report::entry> auto& m)
 {
-    return std::tie(m.budget, m.spare_rate_per_second, m.spare_burst);
+    return std::tie(m.budget, m.owner, m.spare_rate_per_second, m.spare_burst);
 }
 constexpr auto members(either<spare_report> auto& m)
 {
@@ -89,15 +89,53 @@
 }
 constexpr auto members(either<rollout_counts::entry> auto& m)
 {
-    return std::tie(m.move, m.route, m.version, m.window, m.requests, m.failures, m.slow);
+    return std::tie(m.move, m.route, m.version, m.window, m.requests, m.failures, m.timed, m.slow);
 }
 constexpr auto members(either<rollout_counts> auto& m)
 {
-    return std::tie(m.entries);
+    return std::tie(m.scope, m.region, m.entries);
+}
+constexpr auto members(either<drain_report> auto& m)
+{
+    return std::tie(m.move, m.scope, m.region, m.in_flight);
 }
 constexpr auto members(either<leave> auto& /*m*/)
 {
     return std::tie();
 }
 
+// Stands for a value of any type in the count of an aggregate's fields.
+struct any_field {
+    template <typename T>
+    operator T() const; // NOLINT(google-explicit-constructor)
+};
+
+// Number of fields of an aggregate: the most initializers that it takes.
+template <typename T, typename... Fields>
+consteval std::size_t field_count()
+{
+    if constexpr (requires { T{Fields{}..., any_field{}}; }) {
+        return field_count<T, Fields..., any_field>();
+    } else {
+        return sizeof...(Fields);
+    }
+}
+
+// A field that is missing above would be lost on the way without an error.
+template <typename T>
+inline constexpr bool lists_all_fields = std::tuple_size_v<decltype(members(std::declval<T&>()))> ==
+                                         field_count<T>();
+
+static_assert(lists_all_fields<member_record> && lists_all_fields<fact> && lists_all_fields<ping>);
+static_assert(lists_all_fields<ping_ack> && lists_all_fields<indirect_ping> && lists_all_fields<gossip>);
+static_assert(lists_all_fields<change_request> && lists_all_fields<encoded_change> &&
+              lists_all_fields<change_reply>);
+static_assert(lists_all_fields<budget_amount> && lists_all_fields<loan_request> &&
+              lists_all_fields<loan_grant>);
+static_assert(lists_all_fields<loan_return> && lists_all_fields<spare_report::entry> &&
+              lists_all_fields<spare_report>);
+static_assert(lists_all_fields<fence_notice> && lists_all_fields<fence_ack> &&
+              lists_all_fields<rollout_counts::entry>);
+static_assert(lists_all_fields<rollout_counts> && lists_all_fields<drain_report> && lists_all_fields<leave>);
+
 } // namespace camphorknot::transport_internal
