Encode the new fields of loans, gossip and rollout counts

The messages gained fields that the encoding left out. A compile-time count of each struct's fields now refuses an encoding that does not list all of them.

--- a/packages/transport/src/codec.cpp
+++ b/packages/transport/src/codec.cpp
@@ -44,6 +44,7 @@
             write(out, element);
         }
     } else {
+        static_assert(fully_listed<T>, "members() leaves a field of the message out");
         const auto fields = members(value);
         out.pack_array(std::tuple_size_v<decltype(fields)>);
         std::apply([&out](const auto&... field) { (write(out, field), ...); }, fields);
@@ -73,6 +74,14 @@
 {
     return static_cast<std::uint64_t>(fact_kind::incarnation_fenced);
 }
+constexpr std::uint64_t highest(loan_recall /*unused*/)
+{
+    return static_cast<std::uint64_t>(loan_recall::always);
+}
+constexpr std::uint64_t highest(count_scope /*unused*/)
+{
+    return static_cast<std::uint64_t>(count_scope::fleet);
+}
 
 template <typename T>
 bool read(const msgpack::object& in, T& value);
--- a/packages/transport/src/members.hpp
+++ b/packages/transport/src/members.hpp
@@ -32,7 +32,7 @@
 }
 constexpr auto members(either<ping_ack> auto& m)
 {
-    return std::tie(m.sequence, m.region, m.fenced_number, m.configuration_version);
+    return std::tie(m.sequence, m.region, m.fenced_number, m.configuration_version, m.ticket_epoch);
 }
 constexpr auto members(either<indirect_ping> auto& m)
 {
@@ -41,7 +41,7 @@
 constexpr auto members(either<gossip> auto& m)
 {
     return std::tie(m.records, m.facts, m.records_digest, m.facts_digest, m.configuration_version,
-                    m.reader_age, m.wants_all, m.is_reply);
+                    m.reader_age, m.wants_all, m.is_reply, m.settled);
 }
 constexpr auto members(either<change_request> auto& m)
 {
@@ -61,11 +61,11 @@
 }
 constexpr auto members(either<loan_request> auto& m)
 {
-    return std::tie(m.loan, m.budget, m.wanted, m.term);
+    return std::tie(m.loan, m.budget, m.wanted, m.term, m.round);
 }
 constexpr auto members(either<loan_grant> auto& m)
 {
-    return std::tie(m.loan, m.budget, m.granted, m.term);
+    return std::tie(m.loan, m.budget, m.granted, m.term, m.round, m.recall);
 }
 constexpr auto members(either<loan_return> auto& m)
 {
@@ -73,7 +73,7 @@
 }
 constexpr auto members(either<spare_report::entry> auto& m)
 {
-    return std::tie(m.budget, m.spare_rate_per_second, m.spare_burst);
+    return std::tie(m.budget, m.owner, m.spare_rate_per_second, m.spare_burst);
 }
 constexpr auto members(either<spare_report> auto& m)
 {
@@ -89,15 +89,37 @@
 }
 constexpr auto members(either<rollout_counts::entry> auto& m)
 {
-    return std::tie(m.move, m.route, m.version, m.window, m.requests, m.failures, m.slow);
+    return std::tie(m.move, m.route, m.version, m.window, m.requests, m.failures, m.timed, m.slow);
 }
 constexpr auto members(either<rollout_counts> auto& m)
 {
-    return std::tie(m.entries);
+    return std::tie(m.scope, m.region, m.entries);
 }
 constexpr auto members(either<leave> auto& /*m*/)
 {
     return std::tie();
 }
 
+/// Converts to any type, to count the fields of a struct.
+struct any_field {
+    template <typename T>
+    constexpr operator T() const; // NOLINT: the conversion must be implicit.
+};
+
+/// @return the number of fields of the aggregate @p T.
+template <typename T, typename... Fields>
+consteval std::size_t field_count()
+{
+    if constexpr (requires { T{Fields{}..., any_field{}}; }) {
+        return field_count<T, Fields..., any_field>();
+    } else {
+        return sizeof...(Fields);
+    }
+}
+
+/// A field that is added to a message but not here would not travel.
+template <typename T>
+concept fully_listed = std::tuple_size_v<decltype(members(std::declval<T&>()))>
+== field_count<T>();
+
 } // namespace camphorknot::transport_internal
--- a/packages/transport/tests/codec_test.cpp
+++ b/packages/transport/tests/codec_test.cpp
@@ -20,19 +20,23 @@
     const budget_amount amount{-5, 6'000, 7};
     std::vector<peer_message> bodies;
     bodies.emplace_back(ping{7});
-    bodies.emplace_back(ping_ack{7, make_id<region_id>("reykjavik"), 3, 12});
+    bodies.emplace_back(ping_ack{7, make_id<region_id>("reykjavik"), 3, 12, 5});
     bodies.emplace_back(indirect_ping{8, record.instance});
-    bodies.emplace_back(gossip{{record}, {revoked}, 1, 2, 3, std::chrono::milliseconds(250), true, false});
+    bodies.emplace_back(
+        gossip{{record}, {revoked}, 1, 2, 3, std::chrono::milliseconds(250), true, false, true});
     bodies.emplace_back(change_request{41});
     bodies.emplace_back(change_reply{{{42, "{\"a\":1}"}}});
-    bodies.emplace_back(loan_request{1, make_id<budget_id>("b"), amount, std::chrono::seconds(2)});
-    bodies.emplace_back(loan_grant{1, make_id<budget_id>("b"), amount, std::chrono::seconds(2)});
+    bodies.emplace_back(loan_request{1, make_id<budget_id>("b"), amount, std::chrono::seconds(2), 4});
+    bodies.emplace_back(
+        loan_grant{1, make_id<budget_id>("b"), amount, std::chrono::seconds(2), 4, loan_recall::if_unused});
     bodies.emplace_back(loan_return{1, make_id<budget_id>("b"), amount});
-    bodies.emplace_back(spare_report{{{make_id<budget_id>("b"), -1, 2}}});
+    bodies.emplace_back(spare_report{{{make_id<budget_id>("b"), record.instance, -1, 2}}});
     bodies.emplace_back(fence_notice{record.instance, 9});
     bodies.emplace_back(fence_ack{record.instance, 9, make_id<region_id>("luzon"), 10});
     bodies.emplace_back(rollout_counts{
-        {{make_id<move_id>("m"), make_id<route_id>("r"), make_id<version_id>("v"), 1, 2, 3, 4}}});
+        count_scope::region,
+        make_id<region_id>("luzon"),
+        {{make_id<move_id>("m"), make_id<route_id>("r"), make_id<version_id>("v"), 1, 2, 3, 4, 5}}});
     bodies.emplace_back(leave{});
     std::vector<envelope> messages;
     messages.reserve(bodies.size());
