--- a/tools/bench/control_bench.cpp
+++ b/tools/bench/control_bench.cpp
@@ -1,10 +1,11 @@
 /// @file
-/// Control cost of whole instances over an in-memory message queue: processor time, bytes and messages a second, and
-/// heap for each instance, at several fleet sizes, and the time until a change is in force on the last instance.
-/// The slopes over instances, customers, blocks and changes are those of docs/CAPACITY.md.
+/// Control cost of whole instances over an in-memory message queue: processor time, bytes and messages a
+/// second, and heap for each instance, at several fleet sizes, and the time until a change is in force on the
+/// last instance. The slopes over instances, customers, blocks and changes are those of docs/CAPACITY.md.
 #include <malloc.h>
 
 #include <ctime>
+#include <fstream>
 #include <iomanip>
 #include <iostream>
 #include <map>
@@ -96,7 +97,8 @@
 {
     ++table.reads;
     const auto row = table.rows.find(name);
-    return row == table.rows.end() ? table_answer{table_status::not_found, std::nullopt} : table_answer{table_status::ok, row->second};
+    return row == table.rows.end() ? table_answer{table_status::not_found, std::nullopt}
+                                   : table_answer{table_status::ok, row->second};
 }
 
 platform_answer answer_call(store& table, const platform_call& call)
@@ -107,7 +109,8 @@
     } else if (const auto* write = std::get_if<table_transaction>(&call.request)) {
         answer.answer = transact(table, *write);
     } else if (const auto* operation = std::get_if<operation_read>(&call.request)) {
-        answer.answer.status = table.operations.contains(operation->operation) ? table_status::ok : table_status::not_found;
+        answer.answer.status =
+            table.operations.contains(operation->operation) ? table_status::ok : table_status::not_found;
     } else if (const auto* object = std::get_if<object_write>(&call.request)) {
         table.objects[object->name] = object->value;
     } else if (const auto* name = std::get_if<object_read>(&call.request)) {
@@ -133,10 +136,12 @@
             run.bytes_by_kind[message.body.index()] += size;
             ++run.messages;
         }
-        run.events.emplace(run.now + message_delay, event{event::kind::message, to->second, std::move(message), {}});
+        run.events.emplace(run.now + message_delay,
+                           event{event::kind::message, to->second, std::move(message), {}});
     }
     for (const platform_call& call : out.calls) {
-        run.events.emplace(run.now + store_delay, event{event::kind::answer, from, {}, answer_call(run.table, call)});
+        run.events.emplace(run.now + store_delay,
+                           event{event::kind::answer, from, {}, answer_call(run.table, call)});
     }
 }
 
@@ -147,7 +152,8 @@
 
 std::string domain_name(std::size_t instance)
 {
-    return region_name(instance) + (instance / static_cast<std::size_t>(FLAGS_regions) % 2 == 0 ? "-a" : "-b");
+    return region_name(instance) +
+           (instance / static_cast<std::size_t>(FLAGS_regions) % 2 == 0 ? "-a" : "-b");
 }
 
 std::string address_of(std::size_t instance)
@@ -174,7 +180,8 @@
         run.members.push_back({make_node(settings, run.now), settings.peer_address});
         run.places[make_id<instance_id>(settings.peer_address)] = i;
         note_contacts(*run.members.back().control, contacts, run.now);
-        const auto offset = duration(1ms) * FLAGS_tick_ms * static_cast<std::int64_t>(i) / static_cast<std::int64_t>(count);
+        const auto offset =
+            duration(1ms) * FLAGS_tick_ms * static_cast<std::int64_t>(i) / static_cast<std::int64_t>(count);
         run.events.emplace(run.now + offset, event{event::kind::tick, i, {}, {}});
     }
 }
@@ -229,7 +236,8 @@
         change.upserts.emplace_back(site_set_object{"sites", {{domain_name(0), 1}}});
     }
     for (int i = 0; i < FLAGS_blocks; ++i) {
-        change.upserts.emplace_back(block_object{0x0a000000U + (static_cast<std::uint32_t>(i) << 8U), 24, "sites"});
+        change.upserts.emplace_back(
+            block_object{0x0a000000U + (static_cast<std::uint32_t>(i) << 8U), 24, "sites"});
     }
     return change;
 }
@@ -245,7 +253,8 @@
 
 bool in_force_everywhere(const simulation& run, std::uint64_t version)
 {
-    return std::ranges::all_of(run.members, [&](const member& one) { return configuration_of(*one.control).version >= version; });
+    return std::ranges::all_of(
+        run.members, [&](const member& one) { return configuration_of(*one.control).version >= version; });
 }
 
 // Makes one change and runs until it is in force on the last instance.
@@ -284,7 +293,8 @@
     run_until(run, run.now + 1s * FLAGS_settle_seconds);
     figures found;
     found.instances = count;
-    found.heap_mb = static_cast<double>(mallinfo2().uordblks - heap_before) / static_cast<double>(count) / 1e6;
+    found.heap_mb =
+        static_cast<double>(mallinfo2().uordblks - heap_before) / static_cast<double>(count) / 1e6;
     const std::uint64_t reads = run.table.reads;
     const time_point begin = run.now;
     run.counting = true;
@@ -292,8 +302,10 @@
     while (run.now - begin < 1s * FLAGS_seconds) {
         if (FLAGS_changes_per_second > 0) {
             const duration taken = time_of_change(run, number++);
-            found.slowest_change_s = std::max(found.slowest_change_s, std::chrono::duration<double>(taken).count());
-            run_until(run, begin + duration(static_cast<std::int64_t>(1e9 * number / FLAGS_changes_per_second)));
+            found.slowest_change_s =
+                std::max(found.slowest_change_s, std::chrono::duration<double>(taken).count());
+            run_until(run,
+                      begin + duration(static_cast<std::int64_t>(1e9 * number / FLAGS_changes_per_second)));
         } else {
             run_until(run, run.now + 1s);
         }
@@ -331,15 +343,17 @@
     gflags::SetUsageMessage("Control cost of whole instances in one process.");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     nlohmann::json all = nlohmann::json::array();
-    std::cout << std::fixed << std::setprecision(3) << std::setw(10) << "instances" << std::setw(10) << "cpu_%" << std::setw(12)
-              << "bytes/s" << std::setw(10) << "msg/s" << std::setw(10) << "heap_MB" << std::setw(12) << "reads/s" << std::setw(12)
-              << "change_s" << std::setw(10) << "authority\n";
+    std::cout << std::fixed << std::setprecision(3) << std::setw(10) << "instances" << std::setw(10)
+              << "cpu_%" << std::setw(12) << "bytes/s" << std::setw(10) << "msg/s" << std::setw(10)
+              << "heap_MB" << std::setw(12) << "reads/s" << std::setw(12) << "change_s" << std::setw(10)
+              << "authority\n";
     std::istringstream sizes(FLAGS_instances);
     for (std::string size; std::getline(sizes, size, ',');) {
         const figures one = measure(std::stoul(size));
-        std::cout << std::setw(10) << one.instances << std::setw(10) << one.cpu_percent << std::setw(12) << one.bytes_per_second
-                  << std::setw(10) << one.messages_per_second << std::setw(10) << one.heap_mb << std::setw(12)
-                  << one.table_reads_per_second << std::setw(12) << one.slowest_change_s << std::setw(10) << one.with_authority << "\n"
+        std::cout << std::setw(10) << one.instances << std::setw(10) << one.cpu_percent << std::setw(12)
+                  << one.bytes_per_second << std::setw(10) << one.messages_per_second << std::setw(10)
+                  << one.heap_mb << std::setw(12) << one.table_reads_per_second << std::setw(12)
+                  << one.slowest_change_s << std::setw(10) << one.with_authority << "\n"
                   << std::flush;
         all.push_back(to_json(one));
     }
--- a/tools/bench/decision_bench.cpp
+++ b/tools/bench/decision_bench.cpp
@@ -1,6 +1,8 @@
 /// @file
 /// Cost of single decisions at today's and at the target's sizes. Run with --benchmark_format=json for a
 /// file.
+#include <algorithm>
+
 #include <benchmark/benchmark.h>
 
 #include "camphorknot/configuration.hpp"
