--- a/packages/decision/include/camphorknot/membership/state.hpp
+++ b/packages/decision/include/camphorknot/membership/state.hpp
@@ -156,6 +156,7 @@
     time_point unsettled_since{};
     std::optional<time_point> heard_settled; ///< Last message from a settled peer.
     bool pulled_all = false;                 ///< Both digests equalled a peer's since this incarnation began.
+    bool pulling = false;                    ///< Changes being merged come from a pull and do not spread.
     bool fenced_named = false; ///< An acknowledgement named a fenced incarnation of this address.
     bool alone = true;         ///< No other instance of the own region may act; becomes true with a delay.
     bool left = false;
--- a/packages/decision/src/membership/gossip.cpp
+++ b/packages/decision/src/membership/gossip.cpp
@@ -247,12 +247,15 @@
 
 void on_gossip(membership& members, const envelope& message, const gossip& body, time_point now, outbox& out)
 {
+    // What a joining instance pulls is not news to its peers.
+    members.pulling = body.is_reply && !members.pulled_all;
     for (const fact& value : body.facts) {
         learn_fact(members, value, true, now);
     }
     for (const member_record& record : body.records) {
         merge_record(members, record, now);
     }
+    members.pulling = false;
     note_version(members, message.from, body.configuration_version, now);
     note_digests(members, message, body, now);
     const auto sender = members.members.find(message.from);
--- a/packages/decision/src/membership/records.cpp
+++ b/packages/decision/src/membership/records.cpp
@@ -31,7 +31,9 @@
 
 void spread_record(membership& members, instance_id instance)
 {
-    members.record_rumors[instance] = 0;
+    if (!members.pulling) {
+        members.record_rumors[instance] = 0;
+    }
 }
 
 // Follows a change of incarnation or state in everything that is derived from it.
@@ -159,7 +161,9 @@
         return false;
     }
     members.facts_digest ^= fact_hash(value);
-    members.fact_rumors[value] = 0;
+    if (!members.pulling) {
+        members.fact_rumors[value] = 0;
+    }
     if (announce) {
         members.events.emplace_back(fact_learned{value});
     }
@@ -204,7 +208,7 @@
     members.fenced_named = false;
     unsettle(members, now);
     members.live_stale = true;
-    spread_record(members, self.instance);
+    members.record_rumors[self.instance] = 0;
 }
 
 void note_version(membership& members, instance_id peer, std::uint64_t version, time_point now)
