--- a/packages/decision/tests/membership_random_test.cpp
+++ b/packages/decision/tests/membership_random_test.cpp
@@ -176,3 +176,23 @@
     check_all(1000, 20, 120s, sum);
     print(sum);
 }
+
+TEST_CASE("membership: random runs with one mechanism off", "[.long][membership]")
+{
+    // Shows which mechanisms the random runs need; the directed tests cover each of them.
+    internal::mechanism_switches switches[7];
+    switches[1].age_from_sending = false;
+    switches[2].drift_margin = false;
+    switches[3].every_instance_acknowledges = false;
+    switches[4].fenced_number_in_ack = false;
+    switches[5].newest_number_in_fence_ack = false;
+    switches[6].settle_before_acknowledging = false;
+    for (std::size_t off = 0; off < std::size(switches); ++off) {
+        random_result sum;
+        for (std::size_t run = 0; run < combinations * 2; ++run) {
+            run_one(run % combinations, 2000 + run, 120s, sum, switches[off]);
+        }
+        std::cout << "mechanism " << off << " off: steps with authority after a proof " << sum.after_proof
+                  << ", cut off " << sum.when_cut << "\n";
+    }
+}
