--- a/packages/decision/include/camphorknot/membership/state.hpp
+++ b/packages/decision/include/camphorknot/membership/state.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <array>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -145,6 +146,7 @@
     std::uint64_t records_digest = 0;
     std::map<instance_id, unsigned> record_rumors; ///< Changed records and how often each was sent.
     std::map<fact, unsigned> fact_rumors;
+    std::deque<std::pair<time_point, fact>> recent_facts; ///< Learned within the last seconds.
 
     std::map<std::uint64_t, internal::pending_probe> probes;
     std::map<instance_id, internal::suspicion> suspicions;
--- a/packages/decision/src/membership/gossip.cpp
+++ b/packages/decision/src/membership/gossip.cpp
@@ -20,6 +20,8 @@
 // A region whose digests differ for this long missed a change, rather than being about to get it.
 constexpr duration digests_differ_limit = std::chrono::seconds(3);
 constexpr duration recent_join_term = std::chrono::seconds(10);
+constexpr duration recent_fact_term = std::chrono::seconds(10);
+constexpr std::size_t recent_facts_per_reply = 32;
 constexpr int far_peers_when_unsettled = 2;
 
 unsigned send_limit(const membership& members)
@@ -204,6 +206,21 @@
     }
 }
 
+// A peer that every rumor missed gets the news with its next message, and not only after differs_for_long.
+void add_recent_facts(membership& members, gossip& reply, time_point now)
+{
+    auto& recent = members.recent_facts;
+    while (!recent.empty() && now - recent.front().first > recent_fact_term) {
+        recent.pop_front();
+    }
+    for (auto item = recent.rbegin(); item != recent.rend() && reply.facts.size() < recent_facts_per_reply;
+         ++item) {
+        if (std::find(reply.facts.begin(), reply.facts.end(), item->second) == reply.facts.end()) {
+            reply.facts.push_back(item->second);
+        }
+    }
+}
+
 bool differs_for_long(const membership& members, const envelope& message, time_point now)
 {
     const auto sender = members.members.find(message.from);
@@ -271,6 +288,9 @@
         send_all(members, message.from, !body.is_reply, out);
     } else if (!body.is_reply && (!same || !body.settled)) {
         gossip reply = recent_changes(members);
+        if (body.facts_digest != members.facts_digest) {
+            add_recent_facts(members, reply, now);
+        }
         reply.is_reply = true;
         send(members, message.from, std::move(reply), out);
     }
--- a/packages/decision/src/membership/records.cpp
+++ b/packages/decision/src/membership/records.cpp
@@ -163,6 +163,7 @@
     members.facts_digest ^= fact_hash(value);
     if (!members.pulling) {
         members.fact_rumors[value] = 0;
+        members.recent_facts.emplace_back(now, value);
     }
     if (announce) {
         members.events.emplace_back(fact_learned{value});
