--- a/packages/decision/include/camphorknot/membership/state.hpp
+++ b/packages/decision/include/camphorknot/membership/state.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <array>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -145,6 +146,7 @@
     std::uint64_t records_digest = 0;
     std::map<instance_id, unsigned> record_rumors; ///< Changed records and how often each was sent.
     std::map<fact, unsigned> fact_rumors;
+    std::deque<std::pair<time_point, fact>> recent_facts; ///< Learned within the last seconds.
 
     std::map<std::uint64_t, internal::pending_probe> probes;
     std::map<instance_id, internal::suspicion> suspicions;
@@ -156,6 +158,7 @@
     time_point unsettled_since{};
     std::optional<time_point> heard_settled; ///< Last message from a settled peer.
     bool pulled_all = false;                 ///< Both digests equalled a peer's since this incarnation began.
+    bool pulling = false;                    ///< Changes being merged come from a pull and do not spread.
     bool fenced_named = false; ///< An acknowledgement named a fenced incarnation of this address.
     bool alone = true;         ///< No other instance of the own region may act; becomes true with a delay.
     bool left = false;
