decision/budget: loan term of 1 s, graceful stops in the fleet run

Cause: what a dead borrower holds is lost until its loans end, which refused callers that moved to another instance. Ruled out: ending a dead borrower's loans early, since it may only be cut off and still admit on them. Change: loan_term is 1 s instead of 2 s; the fleet run also stops instances gracefully, with hand-over, about each 20 s.

--- a/packages/decision/include/camphorknot/budget/settings.hpp
+++ b/packages/decision/include/camphorknot/budget/settings.hpp
@@ -29,7 +29,9 @@
     region_id region;
     failure_domain_id failure_domain;
     std::uint64_t seed = 0;
-    duration loan_term = std::chrono::seconds(2);
+    /// What a dead borrower holds is lost for up to this time plus drift, so it is as short as renewals at
+    /// half of it allow: one repetition of a lost message across the longest round trip (110 ms).
+    duration loan_term = std::chrono::seconds(1);
     duration round_period = std::chrono::milliseconds(200);
     /// Highest assumed error of this clock's speed. Tokens refill slower by it, so that a fast clock creates
     /// none above the rate. 1 covers the kernel's slewing (0.5) and a free oscillator (0.1).
--- a/packages/decision/tests/budget_fleet_test.cpp
+++ b/packages/decision/tests/budget_fleet_test.cpp
@@ -1,9 +1,11 @@
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <cstdlib>
 #include <iomanip>
 #include <iostream>
 #include <sstream>
+#include <string_view>
 
 #include "support/budget_fleet.hpp"
 
@@ -13,7 +15,9 @@
 
 namespace {
 
-enum class faults { none, dead_or_frozen, all };
+enum class faults : std::uint8_t { none, stops, dead_or_frozen, all };
+constexpr std::array<std::string_view, 4> names_of_faults = {"none", "graceful stops", "dead or frozen",
+                                                             "all"};
 
 fleet_settings settings_of(std::uint64_t seed, faults which)
 {
@@ -27,7 +31,10 @@
         {"hot_moving", 100, 100, 3.0, 1.0, 10s}, {"small", 5, 10, 0.5, 1.0, {}},
     };
     fault_plan& plan = settings.schedule.faults;
-    if (which != faults::none) {
+    if (which == faults::stops || which == faults::all) {
+        settings.mean_between_stops = 20s;
+    }
+    if (which == faults::dead_or_frozen || which == faults::all) {
         plan.mean_between_pauses = 40s;
         plan.mean_between_kills = 40s;
         plan.longest_pause = 8s;
@@ -125,14 +132,14 @@
 {
     const char* text = std::getenv("CAMPHORKNOT_SEEDS");
     const std::uint64_t seeds = text == nullptr ? 5 : std::strtoull(text, nullptr, 10);
-    for (const faults which : {faults::none, faults::dead_or_frozen, faults::all}) {
+    for (const faults which : {faults::none, faults::stops, faults::dead_or_frozen, faults::all}) {
         for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
             CHECK(run_seed(seed, which, time_point(120s), std::cout));
             budget_fleet fleet(settings_of(seed, which));
             fleet.run(time_point(120s));
-            std::cout << "faults " << static_cast<int>(which) << " seed " << seed << ", permits refused "
-                      << fleet.permits_refused() << " taken " << fleet.permits_taken() << ", messages "
-                      << fleet.fleet().messages_sent() << "\n";
+            std::cout << "faults: " << names_of_faults[static_cast<std::size_t>(which)] << ", seed " << seed
+                      << ", permits refused " << fleet.permits_refused() << " taken " << fleet.permits_taken()
+                      << ", messages " << fleet.fleet().messages_sent() << "\n";
             print_table(std::cout, fleet);
             print(std::cout, fleet.fleet().faults());
         }
--- a/packages/decision/tests/budget_ledger_test.cpp
+++ b/packages/decision/tests/budget_ledger_test.cpp
@@ -30,6 +30,7 @@
     settings.region = region_id{1};
     settings.failure_domain = failure_domain_id{1};
     settings.clock_error_permille = 0;
+    settings.loan_term = 2s;
     budget_ledger ledger = make_ledger(settings, 1, now);
     std::vector<instance_id> slots;
     for (std::uint64_t i = 1; i <= owners; ++i) {
--- a/packages/decision/tests/support/budget_fleet.hpp
+++ b/packages/decision/tests/support/budget_fleet.hpp
@@ -70,6 +70,7 @@
     duration stopped_after =
         std::chrono::milliseconds(5300); ///< Silence until an instance is proved stopped.
     duration rise_delay = std::chrono::seconds(5);
+    duration mean_between_stops{}; ///< Graceful ones; zero for none.
 };
 
 /// @return 8 instances in 3 regions with 2 failure domains each.
@@ -101,6 +102,7 @@
         }
         fleet_.at(time_point{}, [this] { watch(); });
         fleet_.at(time_point(settings_.warm_up), [this] { start_callers(); });
+        plan_stop();
     }
 
     /// @return whether all checks held until @p end.
@@ -178,6 +180,7 @@
         set_authority_until(ledger, now + settings_.authority_term);
         contact_[index] = fleet_.now();
         permits_out_[index] = 0;
+        leaving_[index] = false;
         return ledger;
     }
     void apply_owners(budget_ledger& ledger, time_point now, duration rise_delay)
@@ -250,12 +253,7 @@
         }
         owner_of_[index] = heir;
         fenced_[index] = true;
-        for (std::size_t i = 0; i < fleet_.size(); ++i) {
-            if (in_contact(i)) {
-                on_proved_stopped(fleet_.node(i), settings_.schedule.places[index].instance,
-                                  fleet_.state(index).number, fleet_.local_time(i));
-            }
-        }
+        tell_stopped(index);
         spread_owners();
     }
     void return_slot(std::size_t index)
@@ -278,6 +276,43 @@
             });
         }
     }
+    void plan_stop()
+    {
+        if (settings_.mean_between_stops > duration::zero()) {
+            fleet_.at(fleet_.now() + exponential(callers_, settings_.mean_between_stops), [this] {
+                stop_one();
+                plan_stop();
+            });
+        }
+    }
+    // Hands over, leaves, and starts again as a new process a second later.
+    void stop_one()
+    {
+        const std::size_t index = uniform(callers_, fleet_.size());
+        if (!serves(index) || !in_contact(index)) {
+            return;
+        }
+        outbox out;
+        leaving_[index] = true;
+        hand_over(fleet_.node(index), live_, fleet_.local_time(index), out);
+        fleet_.send(out);
+        fleet_.at(fleet_.now() + std::chrono::milliseconds(500),
+                  [this, index, number = fleet_.state(index).number] {
+                      if (fleet_.alive(index) && fleet_.state(index).number == number) {
+                          fleet_.kill(index, std::chrono::seconds(1));
+                          tell_stopped(index);
+                      }
+                  });
+    }
+    void tell_stopped(std::size_t index)
+    {
+        for (std::size_t i = 0; i < fleet_.size(); ++i) {
+            if (in_contact(i)) {
+                on_proved_stopped(fleet_.node(i), settings_.schedule.places[index].instance,
+                                  fleet_.state(index).number, fleet_.local_time(i));
+            }
+        }
+    }
     void start_callers()
     {
         for (std::size_t c = 0; c < customers_.size(); ++c) {
@@ -412,6 +447,7 @@
     std::vector<std::optional<std::size_t>> owner_of_;
     std::array<bool, 64> fenced_{};
     std::array<bool, 64> behind_{};
+    std::array<bool, 64> leaving_{};
     std::array<std::int64_t, 64> permits_out_{};
     std::size_t permit_home_ = 0;
     std::size_t permits_refused_ = 0;
