--- a/packages/decision/src/rollout/pacing.cpp
+++ b/packages/decision/src/rollout/pacing.cpp
@@ -25,6 +25,13 @@
 /// Time kept for the write that ends the move.
 constexpr duration write_margin = std::chrono::seconds(3);
 constexpr std::uint64_t least_step_requests = 20;
+constexpr std::uint64_t least_judged_requests = 100;
+/// A step may wait for evidence up to this part of the time left, since the steps after it need time too. A
+/// route with too little traffic for a judgement by then does not hold the move: a later step finds its fault
+/// after the same number of requests.
+constexpr double longest_judging_part = 0.4;
+/// Evidence at which a step waits for more. A good version reaches it by chance in one of 20 tests.
+constexpr double doubtful_score = 3;
 /// Samples of the new version after which the tests of a good route have nearly always ended.
 constexpr double samples_to_judge = 500;
 /// An instance that did not find the version bad itself waits for counts that tell why it was stopped.
@@ -85,20 +92,34 @@
     return rate * move.durable.share_percent / percent * whole_step >= samples_to_judge;
 }
 
-bool all_judged(const rollout_state& state, const rollout_move& move, time_point now, time_point latest)
+// Whether every route that can be judged until `limit` has been found good.
+bool all_judged(const rollout_state& state, const rollout_move& move, time_point now, time_point limit)
 {
     if (!state.enabled.per_route_test) {
         return is_judged(move, route_id{});
     }
-    bool any = false;
-    for (const auto& [route, counts] : pooled_counts(state, move)) {
-        const bool judged = is_judged(move, route);
-        if (!judged && can_be_judged(move, counts, now, latest)) {
-            return false;
-        }
-        any = any || judged;
-    }
-    return any || move.durable.share_percent > judged_share_percent;
+    const step_counts counts = pooled_counts(state, move);
+    return std::all_of(counts.begin(), counts.end(), [&](const auto& entry) {
+        return is_judged(move, entry.first) || !can_be_judged(move, entry.second, now, limit);
+    });
+}
+
+// A route whose tests have not ended after that many samples is not as good as the old version.
+bool is_undecided_despite_samples(const rollout_move& move)
+{
+    return std::any_of(move.pooled.begin(), move.pooled.end(), [&](const auto& entry) {
+        return static_cast<double>(entry.second.new_requests) >= samples_to_judge &&
+               !is_judged(move, entry.first);
+    });
+}
+
+bool is_doubtful(const rollout_move& move)
+{
+    const auto doubtful = [](const auto& entry) {
+        return std::max(entry.second.failing_evidence.score, entry.second.slow_evidence.score) >=
+               doubtful_score;
+    };
+    return std::any_of(move.pooled.begin(), move.pooled.end(), doubtful);
 }
 
 std::uint64_t new_requests(const rollout_state& state, const rollout_move& move)
@@ -110,17 +131,38 @@
     return requests;
 }
 
+std::uint64_t judged_requests(const rollout_move& move)
+{
+    std::uint64_t requests = 0;
+    for (const auto& [route, evidence] : move.pooled) {
+        requests += evidence.new_requests;
+    }
+    return requests;
+}
+
+// Until when a step may wait for evidence.
+time_point waiting_limit(const rollout_move& move, time_point now, duration left)
+{
+    const duration usable = now + left - least_rest(move) - move.step_entered;
+    const double longest = longest_judging_part * static_cast<double>(usable.count());
+    return std::max(planned_end(move, now, left),
+                    move.step_entered + duration(static_cast<duration::rep>(longest)));
+}
+
 bool may_advance(const rollout_state& state, const rollout_move& move, time_point now, duration left)
 {
     if (now < planned_end(move, now, left) || new_requests(state, move) < least_step_requests) {
         return false;
     }
-    const time_point latest = now + left - least_rest(move);
-    if (all_judged(state, move, now, latest)) {
-        return true;
+    const bool before_judgement = move.durable.share_percent == judged_share_percent;
+    if (before_judgement && judged_requests(move) < least_judged_requests) {
+        return false;
+    }
+    const time_point limit = waiting_limit(move, now, left);
+    if (now >= limit) {
+        return !before_judgement || !is_undecided_despite_samples(move);
     }
-    // Above the first steps, a route that stays undecided does not hold the move past its latest time.
-    return move.durable.share_percent > judged_share_percent && now >= latest;
+    return !is_doubtful(move) && (!before_judgement || all_judged(state, move, now, limit));
 }
 
 // The reason to write for a version that was stopped, or none while it is worth to wait for counts.
--- a/packages/decision/src/rollout/pooling.cpp
+++ b/packages/decision/src/rollout/pooling.cpp
@@ -241,26 +241,30 @@
 void judge_moves(rollout_state& state, duration elapsed)
 {
     const auto judge_all = [&](std::map<route_id, route_judge>& judges, const step_counts& counts,
-                               const judge_bounds& bounds) {
+                               const judge_bounds& bounds, slow_comparison slow) {
         route_counts together;
         for (const auto& [route, both] : counts) {
             together.old_version += both.old_version;
             together.new_version += both.new_version;
             if (state.enabled.per_route_test) {
-                add_counts(judges[route], both.old_version, both.new_version, elapsed, bounds);
+                add_counts(judges[route], both.old_version, both.new_version, elapsed, bounds, slow);
             }
         }
         if (!state.enabled.per_route_test) {
-            add_counts(judges[route_id{}], together.old_version, together.new_version, elapsed, bounds);
+            add_counts(judges[route_id{}], together.old_version, together.new_version, elapsed, bounds, slow);
         }
     };
     for (auto& [id, move] : state.moves) {
         if (!gets_traffic(move)) {
             continue;
         }
-        judge_all(move.local, move.own, local_bounds(state, move));
+        constexpr std::uint32_t whole_share = 100;
+        const bool whole = move.durable.share_percent >= whole_share;
+        judge_all(move.local, move.own, local_bounds(state, move),
+                  whole ? slow_comparison::none : slow_comparison::concurrent);
         if (state.enabled.pooled_counts) {
-            judge_all(move.pooled, pooled_counts(state, move), pooled_bounds(move));
+            judge_all(move.pooled, pooled_counts(state, move), pooled_bounds(move),
+                      whole ? slow_comparison::past : slow_comparison::concurrent);
         }
     }
 }
