--- /dev/null
+++ b/packages/daemon/src/main.cpp
@@ -0,0 +1,127 @@
+// camphorknotd: one instance of the traffic steering system.
+#include <csignal>
+#include <cstdio>
+#include <ctime>
+#include <gflags/gflags.h>
+#include <sys/resource.h>
+
+#include "camphorknot/daemon/runtime.hpp"
+#include "camphorknot/kernel.hpp"
+
+DEFINE_string(settings, "", "Path of the settings file (YAML).");
+DEFINE_bool(check, false, "Check the settings file and exit.");
+
+namespace {
+
+using namespace camphorknot;
+
+constexpr int exit_settings = 2;
+constexpr int exit_start = 3;
+constexpr auto tick_period = std::chrono::milliseconds(50);
+
+// Longer than the longest request, the look-ups' time to live and a round of lending together.
+constexpr duration graceful_limit = std::chrono::seconds(150);
+
+void print_error(const std::string& line)
+{
+    std::fprintf(stderr, "%s\n", line.c_str());
+}
+
+std::optional<daemon_settings> load_settings()
+{
+    settings_answer answer = read_settings(FLAGS_settings);
+    for (const settings_error& error : answer.errors) {
+        print_error(describe(error));
+    }
+    return std::move(answer.settings);
+}
+
+// Blocks the signals in all threads; the main thread waits for them.
+sigset_t block_signals()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    sigset_t waited{};
+    sigemptyset(&waited);
+    sigaddset(&waited, SIGTERM);
+    sigaddset(&waited, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &waited, nullptr);
+    return waited;
+}
+
+bool signal_came(const sigset_t& waited, duration limit)
+{
+    timespec time{};
+    time.tv_nsec = limit.count();
+    return sigtimedwait(&waited, nullptr, &time) > 0;
+}
+
+// Each caller and target connection needs a descriptor.
+void raise_descriptor_limit()
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        limit.rlim_cur = limit.rlim_max;
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
+// Goes on serving until nothing depends on this instance. A second signal ends the wait.
+void stop_gracefully(runtime& daemon, const sigset_t& waited)
+{
+    log_event(log_severity::info, "stop_began", {});
+    begin_graceful_stop(daemon);
+    const time_point give_up_at = boot_now() + graceful_limit;
+    while (!may_stop_now(daemon)) {
+        tick(daemon);
+        if (signal_came(waited, tick_period) || boot_now() >= give_up_at) {
+            log_event(log_severity::warning, "stop_forced", {});
+            break;
+        }
+    }
+    finish_graceful_stop(daemon);
+    log_event(log_severity::info, "stop_done", {});
+}
+
+int run(const daemon_settings& settings, const std::string& secret)
+{
+    const sigset_t waited = block_signals();
+    raise_descriptor_limit();
+    if (!open_log(settings.log_directory)) {
+        print_error("the log directory " + settings.log_directory + " cannot be written");
+        return exit_start;
+    }
+    const auto daemon = start_runtime(settings, secret);
+    if (!daemon) {
+        log_event(log_severity::error, "start_failed", {{"service", daemon.reason}});
+        close_log();
+        return exit_start;
+    }
+    log_event(log_severity::info, "started",
+              {{"peer_address", settings.peer_address}, {"traffic_address", settings.traffic_address}});
+    while (!signal_came(waited, tick_period)) {
+        tick(**daemon);
+    }
+    stop_gracefully(**daemon, waited);
+    close_log();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetVersionString(CAMPHORKNOT_VERSION);
+    gflags::SetUsageMessage("camphorknotd --settings FILE [--check]");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const auto settings = load_settings();
+    if (!settings) {
+        return exit_settings;
+    }
+    const auto secret = read_secret(settings->fleet_secret_file);
+    if (!secret) {
+        print_error(FLAGS_settings + ": security.fleet_secret_file: seen " + settings->fleet_secret_file +
+                    "; allowed: a readable file whose first line has at least 16 characters");
+        return exit_settings;
+    }
+    return FLAGS_check ? 0 : run(*settings, *secret);
+}
