--- a/packages/decision/tests/support/budget_fleet.hpp
+++ b/packages/decision/tests/support/budget_fleet.hpp
@@ -182,12 +182,13 @@
     }
     void apply_owners(budget_ledger& ledger, time_point now, duration rise_delay)
     {
-        std::vector<instance_id> slots;
+        std::vector<allocation_slot> slots;
         std::vector<allocation_owner> owners;
         for (std::size_t i = 0; i < settings_.schedule.places.size(); ++i) {
-            slots.push_back(settings_.schedule.places[i].instance);
+            const placement& place = settings_.schedule.places[i];
+            slots.push_back({place.instance, place.region});
             if (owner_of_[i]) {
-                owners.push_back({slots[i], settings_.schedule.places[*owner_of_[i]].instance});
+                owners.push_back({slots[i].instance, settings_.schedule.places[*owner_of_[i]].instance});
             }
         }
         set_owners(ledger, slots, owners, rise_delay, now);
@@ -340,7 +341,7 @@
     // Work of random length on the permits; its callers stay near one instance for a while.
     void use_permit()
     {
-        if (chance(callers_, 2)) {
+        if (chance(callers_, 15)) {
             permit_home_ = uniform(callers_, fleet_.size());
         }
         const std::size_t index = serving_from(permit_home_);
@@ -353,7 +354,7 @@
                 ++permits_refused_;
             }
         }
-        fleet_.at(fleet_.now() + exponential(callers_, std::chrono::milliseconds(60)),
+        fleet_.at(fleet_.now() + exponential(callers_, std::chrono::milliseconds(45)),
                   [this] { use_permit(); });
     }
     void start_work(std::size_t index, const std::shared_ptr<budget_account>& account, duration length)
--- a/packages/transport/src/members.hpp
+++ b/packages/transport/src/members.hpp
@@ -95,6 +95,10 @@
 {
     return std::tie(m.scope, m.region, m.entries);
 }
+constexpr auto members(either<drain_report> auto& m)
+{
+    return std::tie(m.move, m.scope, m.region, m.in_flight);
+}
 constexpr auto members(either<leave> auto& /*m*/)
 {
     return std::tie();
--- a/packages/transport/tests/codec_test.cpp
+++ b/packages/transport/tests/codec_test.cpp
@@ -38,6 +38,8 @@
         make_id<region_id>("luzon"),
         {{make_id<move_id>("m"), make_id<route_id>("r"), make_id<version_id>("v"), 1, 2, 3, 4, 5}}});
     bodies.emplace_back(leave{});
+    bodies.emplace_back(
+        drain_report{make_id<move_id>("m"), count_scope::fleet, make_id<region_id>("luzon"), 6});
     std::vector<envelope> messages;
     messages.reserve(bodies.size());
     for (peer_message& body : bodies) {
