--- a/packages/decision/include/camphorknot/membership/state.hpp
+++ b/packages/decision/include/camphorknot/membership/state.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <array>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -53,9 +54,10 @@
 /// Contact with one region.
 struct region_contact {
     time_point next_ping{};
-    std::optional<time_point> acknowledged; ///< Sending time of the newest acknowledged ping.
-    std::optional<time_point> settled_peer; ///< Last equal facts digest from a settled instance there.
-    std::optional<time_point> any_peer;     ///< Last equal facts digest from any instance there.
+    std::optional<time_point> acknowledged;  ///< Sending time of the newest acknowledged ping.
+    std::optional<time_point> settled_peer;  ///< Last equal facts digest from a settled instance there.
+    std::optional<time_point> any_peer;      ///< Last equal facts digest from any instance there.
+    std::optional<time_point> differs_since; ///< Since when no digests from there were equal.
     bool clean = false; ///< An acknowledgement named no fenced incarnation of this address.
 };
 
@@ -144,6 +146,7 @@
     std::uint64_t records_digest = 0;
     std::map<instance_id, unsigned> record_rumors; ///< Changed records and how often each was sent.
     std::map<fact, unsigned> fact_rumors;
+    std::deque<std::pair<time_point, fact>> recent_facts; ///< Learned within the last seconds.
 
     std::map<std::uint64_t, internal::pending_probe> probes;
     std::map<instance_id, internal::suspicion> suspicions;
@@ -155,6 +158,7 @@
     time_point unsettled_since{};
     std::optional<time_point> heard_settled; ///< Last message from a settled peer.
     bool pulled_all = false;                 ///< Both digests equalled a peer's since this incarnation began.
+    bool pulling = false;                    ///< Changes being merged come from a pull and do not spread.
     bool fenced_named = false; ///< An acknowledgement named a fenced incarnation of this address.
     bool alone = true;         ///< No other instance of the own region may act; becomes true with a delay.
     bool left = false;
@@ -166,7 +170,6 @@
     time_point next_pull{};
     time_point next_fencing_review{};
     time_point next_sweep{};
-    std::optional<time_point> digests_differ_since;
     time_point next_version_event{};
     std::vector<membership_event> events;
     internal::mechanism_switches switches;
--- a/packages/decision/src/budget/ledger.cpp
+++ b/packages/decision/src/budget/ledger.cpp
@@ -11,6 +11,10 @@
 namespace {
 
 constexpr std::int64_t percent = 100;
+// Burst that an idle owner keeps for the first requests of callers that come to it, and at most this part of
+// its own burst.
+constexpr std::int64_t first_requests = 2;
+constexpr std::int64_t first_part = 4;
 
 // The part of the own allocation that may be lent; permits are rounded up to whole ones.
 share lendable_own(const budget_ledger& ledger, const budget_state& state)
@@ -33,6 +37,25 @@
     return own;
 }
 
+struct slot_place {
+    std::int64_t rank = 0;  ///< Among the slots that own the budget.
+    std::int64_t count = 0; ///< Of those slots; 0 if this slot is not one of them.
+};
+
+slot_place place_of(const budget_ledger& ledger, const budget_state& state, std::size_t slot)
+{
+    const auto home =
+        state.total.home ? ledger.home_counts.find(*state.total.home) : ledger.home_counts.end();
+    // A region without instances of its own leaves its permits to all.
+    if (home == ledger.home_counts.end()) {
+        return {static_cast<std::int64_t>(slot), static_cast<std::int64_t>(ledger.slots.size())};
+    }
+    if (ledger.slots[slot].region != home->first) {
+        return {};
+    }
+    return {ledger.home_ranks[slot], home->second};
+}
+
 // Changes the own allocation: decreases at once, increases when due.
 void set_own(budget_ledger& ledger, budget_state& state, duration rise_delay, time_point now)
 {
@@ -91,7 +114,7 @@
 bool is_idle(const budget_state& state)
 {
     return state.given.empty() && state.taken.empty() && !state.reported &&
-           internal::is_zero(internal::wanted_share(state, false));
+           internal::is_zero(internal::wanted_share(state, internal::demand_view::wanted));
 }
 
 // Lets the traffic threads list the budget again. Returns false if they used it meanwhile.
@@ -108,12 +131,14 @@
 
 void run_round(budget_ledger& ledger, budget_state& state, time_point now, outbox& out)
 {
+    internal::notify_waiting(ledger, state, now, out);
     const bool is_short = state.account->is_short.exchange(false);
-    if (!is_short && now < state.next_round) {
+    const bool is_asked_back = now < state.asked_back_until;
+    if (!is_short && !is_asked_back && now < state.next_round) {
         return;
     }
     state.next_round = now + ledger.settings.round_period;
-    internal::update_demand(state, now);
+    internal::update_demand(state, is_short, now);
     internal::expire_given(ledger, state, now);
     internal::run_borrower(ledger, state, now, out);
 }
@@ -153,9 +178,15 @@
 
 share internal::slot_share(const budget_ledger& ledger, const budget_state& state, std::size_t slot)
 {
-    const auto count = static_cast<std::int64_t>(ledger.slots.size());
+    const slot_place found = place_of(ledger, state, slot);
+    if (found.count == 0) {
+        return {};
+    }
+    const std::int64_t count = found.count;
     // The remainder goes to other slots for each budget, so that no instance owns most of the small ones.
-    const auto place = static_cast<std::int64_t>((slot + state.total.id.value) % ledger.slots.size());
+    const auto offset = static_cast<std::int64_t>(state.total.id.value % static_cast<std::uint64_t>(count));
+    const std::int64_t place = (found.rank + offset) % count;
+
     const auto part = [&](std::int64_t total) { return total / count + (place < total % count ? 1 : 0); };
     const budget_amount& total = state.total.total;
     if (state.total.kind == budget_kind::in_flight) {
@@ -189,8 +220,17 @@
     if (now < state.restart_until || !ledger.own_allowed || !has_authority(ledger, now)) {
         return {};
     }
-    const share needed = ledger.leaving ? share{} : wanted_share(state, false);
-    share spare = at_most(lendable_own(ledger, state), state.own - needed) - state.lent;
+    // The own allocation shrank below what is lent; nothing more is lent until loans have ended.
+    if (!covers(state.own, state.lent)) {
+        return {};
+    }
+    const share needed = ledger.leaving ? share{} : wanted_share(state, demand_view::kept);
+    share spare = at_most(lendable_own(ledger, state), state.own - needed);
+    if (state.total.kind == budget_kind::rate && !ledger.leaving) {
+        const std::int64_t first = std::min(first_requests * one_request, state.own.burst / first_part);
+        spare.burst = std::min(spare.burst, state.own.burst - first);
+    }
+    spare = spare - state.lent;
     if (state.total.kind == budget_kind::in_flight) {
         const std::lock_guard lock(state.account->mutex);
         spare.burst = std::min(spare.burst, state.account->base.burst - state.account->in_use);
@@ -199,10 +239,15 @@
     return at_least_zero(spare);
 }
 
-void set_owners(budget_ledger& ledger, std::span<const instance_id> slots,
+void set_owners(budget_ledger& ledger, std::span<const allocation_slot> slots,
                 std::span<const allocation_owner> owners, duration rise_delay, time_point now)
 {
     ledger.slots.assign(slots.begin(), slots.end());
+    ledger.home_counts.clear();
+    ledger.home_ranks.clear();
+    for (const allocation_slot& slot : slots) {
+        ledger.home_ranks.push_back(ledger.home_counts[slot.region]++);
+    }
     ledger.slot_owners.clear();
     for (const allocation_owner& change : owners) {
         ledger.slot_owners[change.slot] = change.owner;
@@ -210,8 +255,9 @@
     ledger.own_slots.clear();
     ledger.lenders.clear();
     for (std::size_t slot = 0; slot < slots.size(); ++slot) {
-        const auto changed = ledger.slot_owners.find(slots[slot]);
-        const instance_id owner = changed == ledger.slot_owners.end() ? slots[slot] : changed->second;
+        const auto changed = ledger.slot_owners.find(slots[slot].instance);
+        const instance_id owner =
+            changed == ledger.slot_owners.end() ? slots[slot].instance : changed->second;
         if (owner == ledger.settings.self) {
             ledger.own_slots.push_back(slot);
         } else {
@@ -323,7 +369,7 @@
     } else if (const auto* returned = std::get_if<loan_return>(&message.body)) {
         internal::on_loan_return(ledger, message, *returned, now);
     } else if (const auto* report = std::get_if<spare_report>(&message.body)) {
-        internal::on_spare_report(ledger, *report, now);
+        internal::on_spare_report(ledger, message, *report, now);
     }
 }
 
