Keep the distribution's ticks free of work that grows with the fleet

Cause: control_bench showed processor time growing with the fleet, 0.246% at 128 and 1.325% at 512 instances. Stacks taken during the run showed copies of the live members, the search for stopped peers and for the highest report at every tick. Ruled out: gossip and pings, whose bytes and messages stay the same with the fleet. Change: the distribution takes over the live members each 500 ms, or when their number changes, and keeps the highest report; objects_of visits only objects of its kind. Conclusion: no work in the tick grows with the fleet any more but digests of the members.

--- a/packages/decision/include/camphorknot/configuration/distribution.hpp
+++ b/packages/decision/include/camphorknot/configuration/distribution.hpp
@@ -109,7 +109,9 @@
     std::size_t recent_bytes = 0;
     std::vector<configuration_change> applied;
     std::vector<member_record> live;
+    time_point next_live_check;
     std::map<instance_id, internal::version_report> reports;
+    std::uint64_t highest_report = 0;   ///< Highest version in reports.
     std::set<region_id> agreed_regions; ///< Regions whose reports did not exceed the version in force once.
     std::optional<table_row> head;      ///< As last read, value and row version.
     std::uint64_t head_version = 0;
--- a/packages/decision/include/camphorknot/configuration/store.hpp
+++ b/packages/decision/include/camphorknot/configuration/store.hpp
@@ -122,15 +122,27 @@
 /// @return the configuration in @p text, or nothing if it is malformed or names an object twice.
 std::optional<configuration> decode_snapshot(std::string_view text);
 
-/// @return the objects of type @p Object, in the order of their names.
+/// @return the place of @p Object among the alternatives of configuration_object, which is its object_kind.
+template <typename Object, std::size_t Index = 0>
+consteval object_kind kind_of()
+{
+    if constexpr (std::is_same_v<Object, std::variant_alternative_t<Index, configuration_object>>) {
+        return static_cast<object_kind>(Index);
+    } else {
+        return kind_of<Object, Index + 1>();
+    }
+}
+
+/// @return the objects of type @p Object, in the order of their names. Costs nothing for objects of other
+/// kinds: a configuration holds mostly client blocks.
 template <typename Object>
 std::vector<Object> objects_of(const configuration& value)
 {
+    constexpr object_kind kind = kind_of<Object>();
     std::vector<Object> found;
-    for (const auto& [key, object] : value.objects) {
-        if (const auto* match = std::get_if<Object>(&object)) {
-            found.push_back(*match);
-        }
+    for (auto place = value.objects.lower_bound({kind, ""});
+         place != value.objects.end() && place->first.kind == kind; ++place) {
+        found.push_back(std::get<Object>(place->second));
     }
     return found;
 }
--- a/packages/decision/src/configuration/distribution.cpp
+++ b/packages/decision/src/configuration/distribution.cpp
@@ -124,6 +124,10 @@
     }
 }
 
+// Work that grows with the fleet is not done at every tick: at 2,400 instances it took more than the whole
+// budget of processor time. A member that joins or leaves is noticed at once by the count.
+constexpr duration live_period = std::chrono::milliseconds(500);
+
 void forget_stopped_peers(distribution& state)
 {
     std::set<instance_id> present;
@@ -133,6 +137,17 @@
     std::erase_if(state.reports, [&](const auto& entry) { return !present.contains(entry.first); });
 }
 
+void note_live(distribution& state, std::span<const member_record> live, time_point now)
+{
+    if (live.size() == state.live.size() && now < state.next_live_check) {
+        return;
+    }
+    state.next_live_check = now + live_period;
+    state.live.assign(live.begin(), live.end());
+    forget_stopped_peers(state);
+    internal::refresh_highest_report(state);
+}
+
 distribution_read start_read(distribution& state, read_kind kind, std::uint64_t version, time_point now)
 {
     state.read = internal::read_under_way{kind, version, now};
@@ -227,8 +242,7 @@
 
 distribution_read tick(distribution& state, std::span<const member_record> live, time_point now, outbox& out)
 {
-    state.live.assign(live.begin(), live.end());
-    forget_stopped_peers(state);
+    note_live(state, live, now);
     internal::send_parts(state, out);
     if (state.read && now - state.read->sent >= read_answer_term) {
         give_up_read(state, now);
--- a/packages/decision/src/configuration/distribution_internal.hpp
+++ b/packages/decision/src/configuration/distribution_internal.hpp
@@ -9,6 +9,9 @@
 /// Time for which a peer or the object store is left alone after it failed to give what it should have.
 inline constexpr duration failed_source_pause = std::chrono::seconds(3);
 
+/// Finds the highest reported version again, after peers were forgotten.
+void refresh_highest_report(distribution& state);
+
 /// @return the highest version that the table or a live peer reported.
 std::uint64_t highest_reported(const distribution& state);
 
--- a/packages/decision/src/configuration/distribution_peers.cpp
+++ b/packages/decision/src/configuration/distribution_peers.cpp
@@ -263,6 +263,7 @@
     internal::version_report& report = state.reports[peer];
     report.region = region;
     report.version = std::max(report.version, version);
+    state.highest_report = std::max(state.highest_report, version);
     constexpr duration longest_age = std::chrono::hours(24);
     if (reader_age >= duration::zero() && reader_age < longest_age) {
         state.confirmed = std::max(state.confirmed.value_or(now - reader_age), now - reader_age);
--- a/packages/decision/src/configuration/distribution_state.cpp
+++ b/packages/decision/src/configuration/distribution_state.cpp
@@ -61,11 +61,15 @@
 
 std::uint64_t highest_reported(const distribution& state)
 {
-    std::uint64_t highest = state.head_version;
+    return std::max(state.head_version, state.highest_report);
+}
+
+void refresh_highest_report(distribution& state)
+{
+    state.highest_report = 0;
     for (const auto& [peer, report] : state.reports) {
-        highest = std::max(highest, report.version);
+        state.highest_report = std::max(state.highest_report, report.version);
     }
-    return highest;
 }
 
 bool is_burst(const distribution& state)
