decision/budget: no tokens return with a grant that comes too late

A borrower answers a grant for a loan that it no longer has by returning it, with the tokens of the grant; if the grant answered a renewal, the borrower had spent them before. Change: such a return carries no tokens. The check looks at the parts that are granted. Permits that traffic threads take while a loan of them is decided are left out of it. Keys are compared with memcmp.

--- a/packages/decision/src/budget/borrower.cpp
+++ b/packages/decision/src/budget/borrower.cpp
@@ -392,8 +392,10 @@
     loan_taken* loan = find_taken(state, message.from, body.loan);
     if (loan == nullptr) {
         if (body.recall == loan_recall::none && body.granted.burst + body.granted.rate_per_second > 0) {
-            // Frees at the lender what was granted too late; its tokens were never used here.
-            send(ledger, message.from, loan_return{body.loan, body.budget, body.granted}, out);
+            // Frees at the lender what was granted too late. No tokens go back: the loan may have been in use
+            // here before, and its tokens with it.
+            const budget_amount returned = {body.granted.rate_per_second, body.granted.burst, 0};
+            send(ledger, message.from, loan_return{body.loan, body.budget, returned}, out);
         }
     } else if (body.recall != loan_recall::none) {
         if (loan->active && !loan->returning) {
--- a/packages/decision/src/budget/lender.cpp
+++ b/packages/decision/src/budget/lender.cpp
@@ -42,21 +42,29 @@
 }
 
 // Takes the amount and its tokens out of the account. What remains is asserted to be the own allocation less
-// all loans, so that no part of it counts twice (P4, P2).
-std::int64_t deduct(const budget_ledger& ledger, budget_state& state, const share& amount, time_point now)
+// all loans, so that no part of it counts twice (P4, P2). Permits that traffic threads took since the spare
+// was computed are left out of the amount.
+std::int64_t deduct(const budget_ledger& ledger, budget_state& state, share& amount, time_point now)
 {
-    state.lent = state.lent + amount;
-    check_invariant(covers(state.own, state.lent), promise::p4_customer_rate, "lent_is_owned");
     const std::lock_guard lock(state.account->mutex);
     advance(*state.account, now);
+    if (state.total.kind == budget_kind::in_flight) {
+        const std::int64_t free =
+            std::max<std::int64_t>(state.account->base.burst - state.account->in_use, 0);
+        amount.burst = std::min(amount.burst, free - free % one_request);
+    }
+    state.lent = state.lent + amount;
+    const bool rate_owned = amount.rate == 0 || state.lent.rate <= state.own.rate;
+    const bool burst_owned = amount.burst == 0 || state.lent.burst <= state.own.burst;
+    check_invariant(rate_owned && burst_owned, promise::p4_customer_rate, "lent_is_owned");
     const std::int64_t tokens = split_tokens(*state.account, amount.burst);
     set_base(*state.account, state.account->base - amount, now);
     check_invariant(state.account->base == allowed_own(ledger, state, now) - state.lent,
                     promise::p4_customer_rate, "base_is_own_less_lent");
     check_invariant(state.account->tokens <= state.account->sum.burst, promise::p4_customer_rate,
                     "tokens_within_burst");
-    const bool permits_free =
-        state.total.kind != budget_kind::in_flight || state.account->in_use <= state.account->base.burst;
+    const bool permits_free = state.total.kind != budget_kind::in_flight || amount.burst == 0 ||
+                              state.account->in_use <= state.account->base.burst;
     check_invariant(permits_free, promise::p2_region_load, "lent_permits_are_free");
     return tokens;
 }
@@ -110,7 +118,11 @@
     loan.loan = request.loan;
     loan.amount = amount;
     rebase(ledger, state, now);
-    loan.tokens = deduct(ledger, state, amount, now);
+    loan.tokens = deduct(ledger, state, loan.amount, now);
+    if (is_zero(loan.amount)) {
+        send_grant(ledger, message, request, {}, out);
+        return;
+    }
     loan.granted = now;
     loan.due = now + hold_time(ledger, state);
     state.given.push_back(loan);
--- a/packages/decision/src/keys/key_table.cpp
+++ b/packages/decision/src/keys/key_table.cpp
@@ -1,6 +1,7 @@
 #include "camphorknot/keys.hpp"
 
 #include <algorithm>
+#include <cstring>
 
 namespace camphorknot {
 namespace {
@@ -10,7 +11,7 @@
 
 bool hash_order(const key_entry& entry, const key_hash& hash)
 {
-    return entry.hash < hash;
+    return std::memcmp(entry.hash.data(), hash.data(), hash.size()) < 0;
 }
 
 std::size_t page_index(const key_hash& hash)
--- a/packages/decision/tests/budget_ledger_test.cpp
+++ b/packages/decision/tests/budget_ledger_test.cpp
@@ -194,6 +194,21 @@
     CHECK(usable(two.lender, customer, ready).rate_per_second <= 100'000);
 }
 
+TEST_CASE("budget: a grant that comes after its loan ended brings no tokens back", "[budget]")
+{
+    // Guards against tokens that are spent by the borrower and then returned once more.
+    pair_of_ledgers two;
+    const outbox grants = two.deliver(two.lender, two.ask(ready), ready);
+    two.deliver(two.borrower, grants, ready);
+    take_all(*find_account(two.borrower, customer), ready);
+    outbox out;
+    tick(two.borrower, two.live, ready + 2010ms, out);
+    const std::int64_t before = usable(two.lender, customer, ready + 2100ms).tokens;
+    two.deliver(two.lender, two.deliver(two.borrower, grants, ready + 2100ms), ready + 2100ms);
+    CHECK(usable(two.lender, customer, ready + 2100ms).rate_per_second == 100'000);
+    CHECK(usable(two.lender, customer, ready + 2100ms).tokens == before);
+}
+
 TEST_CASE("budget: a new process starts empty and without what it could have lent", "[budget]")
 {
     // Guards against use of an allocation that the process before has lent.
