decision/operations: split begin_operation into its steps

Ruled out: a change of behaviour; the tests are the same. Change: the checks of a foreign ticket and the first run are functions of their own. Conclusion: each step reads on its own.

--- a/packages/decision/src/operations/operation_ledger.cpp
+++ b/packages/decision/src/operations/operation_ledger.cpp
@@ -82,6 +82,34 @@
     ledger.records.erase(found);
 }
 
+// Refuses a ticket of another instance or process, or one that was never issued for this process.
+std::optional<operation_begin> refuse_foreign(const operation_ledger& ledger, const ticket& shown,
+                                              std::uint64_t epoch)
+{
+    if (shown.instance != ledger.settings.self) {
+        return refuse(refusal_reason::ticket_of_other_instance, outcome::unknown);
+    }
+    if (shown.process_nonce != ledger.settings.process_nonce) {
+        return refuse(refusal_reason::outcome_unknown, outcome::unknown);
+    }
+    if (shown.epoch == 0 || shown.epoch > epoch) {
+        return refuse(refusal_reason::ticket_invalid, outcome::not_run);
+    }
+    return std::nullopt;
+}
+
+operation_begin run_first_time(operation_ledger& ledger, const ticket& shown, time_point now)
+{
+    check_invariant(!record_may_be_gone(ledger, shown.epoch, now), promise::p8_at_most_once,
+                    "accepted_ticket_has_record_time");
+    if (ledger.records.size() >= ledger.settings.record_limit) {
+        return refuse(refusal_reason::instance_busy, outcome::not_run, ledger.settings.epoch_length);
+    }
+    ledger.records.emplace(key_of(shown), operation_record{});
+    ledger.expiries.push_back({now + record_lifetime(ledger.settings), key_of(shown)});
+    return run();
+}
+
 } // namespace
 
 operation_ledger make_operation_ledger(const operation_settings& settings, time_point now)
@@ -109,18 +137,11 @@
 operation_begin begin_operation(operation_ledger& ledger, const ticket& shown, customer_id customer,
                                 route_id route, time_point now)
 {
-    if (shown.instance != ledger.settings.self) {
-        return refuse(refusal_reason::ticket_of_other_instance, outcome::unknown);
-    }
-    if (shown.process_nonce != ledger.settings.process_nonce) {
-        return refuse(refusal_reason::outcome_unknown, outcome::unknown);
-    }
     const std::uint64_t epoch = current_epoch(ledger, now);
-    if (shown.epoch == 0 || shown.epoch > epoch) {
-        return refuse(refusal_reason::ticket_invalid, outcome::not_run);
+    if (const auto refused = refuse_foreign(ledger, shown, epoch)) {
+        return *refused;
     }
-    const operation_key key = key_of(shown);
-    const auto found = ledger.records.find(key);
+    const auto found = ledger.records.find(key_of(shown));
     operation_record* record = found == ledger.records.end() ? nullptr : &found->second;
     if (shown.customer != customer || shown.route != route) {
         return refuse(refusal_reason::ticket_invalid, outcome_of(ledger, shown, record, now));
@@ -135,14 +156,7 @@
         record->state = operation_state::running;
         return run();
     }
-    check_invariant(!record_may_be_gone(ledger, shown.epoch, now), promise::p8_at_most_once,
-                    "accepted_ticket_has_record_time");
-    if (ledger.records.size() >= ledger.settings.record_limit) {
-        return refuse(refusal_reason::instance_busy, outcome::not_run, ledger.settings.epoch_length);
-    }
-    ledger.records.emplace(key, operation_record{});
-    ledger.expiries.push_back({now + record_lifetime(ledger.settings), key});
-    return run();
+    return run_first_time(ledger, shown, now);
 }
 
 void finish_operation(operation_ledger& ledger, const ticket& shown, outcome ended,
