decision/membership: a duplicate counts as one sending of a change

Cause: each instance sent each change a fixed number of times, long after all peers had it.

Change: a record or fact that a peer sends while it is still to be sent counts as one sending.

--- a/packages/decision/src/membership/records.cpp
+++ b/packages/decision/src/membership/records.cpp
@@ -36,6 +36,16 @@
     }
 }
 
+// A peer that sends the same change shows that it is spreading: one sending less is needed.
+template <typename Key>
+void count_duplicate(std::map<Key, unsigned>& rumors, const Key& key)
+{
+    const auto found = rumors.find(key);
+    if (found != rumors.end()) {
+        ++found->second;
+    }
+}
+
 // Follows a change of incarnation or state in everything that is derived from it.
 void on_changed(membership& members, member_entry& entry, time_point now)
 {
@@ -139,6 +149,7 @@
     if (!entry.known || record.number > entry.record.number) {
         replace_incarnation(members, entry, record, now);
     } else if (record.number == entry.record.number) {
+        count_duplicate(members.record_rumors, record.instance);
         merge_same_incarnation(members, entry, record, now);
     }
 }
@@ -158,6 +169,7 @@
 bool learn_fact(membership& members, const fact& value, bool announce, time_point now)
 {
     if (!members.facts.insert(value).second) {
+        count_duplicate(members.fact_rumors, value);
         return false;
     }
     members.facts_digest ^= fact_hash(value);
