decision/membership: at most 24 records in a gossip message

Cause: after a cold start or the death of a failure domain every message was full, and 64 records of about 105 bytes several times a second exceed 22 kB/s.

Change: at most 24 records in a message. Fences are facts and are not slowed.

--- a/packages/decision/src/membership/gossip.cpp
+++ b/packages/decision/src/membership/gossip.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Most changes in one message, so that its size does not grow with the fleet.
-constexpr std::size_t records_per_message = 64;
+constexpr std::size_t records_per_message = 24;
 constexpr std::size_t facts_per_message = 256;
 // Records in one message of a full pull; keeps it under the frame limit of 256 KiB.
 constexpr std::size_t records_per_pull_message = 1000;
