decision/membership: authority hints spread with few sendings

Cause: after a cold start each instance passes on one record for every instance that gains authority, as often as a new member.

Change: a record that only raises the authority hint is passed on four times; pings repair what is missed.

--- a/packages/decision/src/membership/gossip.cpp
+++ b/packages/decision/src/membership/gossip.cpp
@@ -24,11 +24,6 @@
 constexpr std::size_t recent_facts_per_reply = 32;
 constexpr int far_peers_when_unsettled = 2;
 
-unsigned send_limit(const membership& members)
-{
-    return extra_sends + static_cast<unsigned>(std::bit_width(members.members.size()));
-}
-
 member_record spread_form(const membership& members, instance_id instance)
 {
     if (instance == members.settings.self.instance) {
@@ -235,6 +230,11 @@
 
 } // namespace
 
+unsigned send_limit(const membership& members)
+{
+    return extra_sends + static_cast<unsigned>(std::bit_width(members.members.size()));
+}
+
 void tick_gossip(membership& members, time_point now, outbox& out)
 {
     if (now < members.next_gossip) {
--- a/packages/decision/src/membership/parts.hpp
+++ b/packages/decision/src/membership/parts.hpp
@@ -51,6 +51,8 @@
 std::optional<region_id> random_far_region(membership& members);
 
 // gossip.cpp
+/// @return how often this instance sends one change.
+unsigned send_limit(const membership& members);
 void tick_gossip(membership& members, time_point now, outbox& out);
 void on_gossip(membership& members, const envelope& message, const gossip& body, time_point now, outbox& out);
 /// Sends the record and the fence known for @p peer, which acts under an old or fenced incarnation.
--- a/packages/decision/src/membership/records.cpp
+++ b/packages/decision/src/membership/records.cpp
@@ -36,6 +36,16 @@
     }
 }
 
+// Passes on a hint a few times only; pings repair what is missed.
+void spread_hint(membership& members, instance_id instance)
+{
+    constexpr unsigned hint_sends = 4;
+    const unsigned limit = send_limit(members);
+    if (!members.pulling) {
+        members.record_rumors.try_emplace(instance, limit > hint_sends ? limit - hint_sends : 0);
+    }
+}
+
 // A peer that sends the same change shows that it is spreading: one sending less is needed.
 template <typename Key>
 void count_duplicate(std::map<Key, unsigned>& rumors, const Key& key)
@@ -110,7 +120,7 @@
     if (record.has_authority && !own.has_authority) {
         own.has_authority = true;
         patch_live(members, own);
-        spread_record(members, own.instance);
+        spread_hint(members, own.instance);
     }
     if (record.configuration_version > own.configuration_version) {
         own.configuration_version = record.configuration_version;
