decision/membership: gossip also goes to members that are not counted as live

Neither side named the other as live, so neither sent anything, and they stayed apart after the network was whole.

Ruled out: lost rumours and the pull; no message passed between the sides at all.

Change: every 3 s, or every second while not settled, one message goes to a random member that is only named by a list, fenced or stopped. Its answer corrects the incarnation on either side.

--- a/packages/decision/include/camphorknot/membership/state.hpp
+++ b/packages/decision/include/camphorknot/membership/state.hpp
@@ -166,6 +166,7 @@
     time_point last_tick{};
     time_point next_gossip{};
     time_point next_far_gossip{};
+    time_point next_lost_gossip{};
     time_point next_near_digest{};
     time_point next_pull{};
     time_point next_fencing_review{};
--- a/packages/decision/src/membership/gossip.cpp
+++ b/packages/decision/src/membership/gossip.cpp
@@ -16,6 +16,7 @@
 constexpr unsigned extra_sends = 3;
 constexpr duration far_gossip_period = std::chrono::seconds(1);
 constexpr duration quiet_gossip_period = std::chrono::seconds(1);
+constexpr duration lost_gossip_period = std::chrono::seconds(3);
 constexpr duration pull_period = std::chrono::seconds(1);
 // A region whose digests differ for this long missed a change, rather than being about to get it.
 constexpr duration digests_differ_limit = std::chrono::seconds(3);
@@ -122,19 +123,20 @@
     }
 }
 
-// A contact that no record is known of yet, or nothing.
-std::optional<instance_id> random_unknown_contact(membership& members)
+// A member that is not counted as live: only named by a list so far, fenced or stopped. Two sides of a
+// partition may each have fenced the other, and then only such messages bring them together again.
+std::optional<instance_id> random_lost_peer(membership& members)
 {
-    std::vector<instance_id> contacts;
+    std::vector<instance_id> lost;
     for (const auto& [instance, entry] : members.members) {
-        if (!entry.known) {
-            contacts.push_back(instance);
+        if (!is_live(entry)) {
+            lost.push_back(instance);
         }
     }
-    if (contacts.empty()) {
+    if (lost.empty()) {
         return std::nullopt;
     }
-    return contacts[uniform(members.random, contacts.size())];
+    return lost[uniform(members.random, lost.size())];
 }
 
 void pull_all(membership& members, instance_id from, time_point now, outbox& out)
@@ -155,7 +157,7 @@
 void join_more(membership& members, time_point now, outbox& out)
 {
     if (!members.pulled_all && now >= members.next_pull) {
-        auto from = random_unknown_contact(members);
+        auto from = random_lost_peer(members);
         if (!from || uniform(members.random, 2) == 0) {
             const auto near = random_peer(members, members.settings.self.region);
             const auto far = random_far_peer(members);
@@ -253,8 +255,11 @@
         if (const auto peer = random_far_peer(members)) {
             send_recent_changes(members, *peer, out);
         }
-        if (const auto contact = random_unknown_contact(members)) {
-            send_recent_changes(members, *contact, out);
+    }
+    if (now >= members.next_lost_gossip) {
+        members.next_lost_gossip = now + (members.settled ? lost_gossip_period : far_gossip_period);
+        if (const auto lost = random_lost_peer(members)) {
+            send_recent_changes(members, *lost, out);
         }
     }
     if (!members.settled) {
--- a/packages/decision/tests/membership_random_test.cpp
+++ b/packages/decision/tests/membership_random_test.cpp
@@ -170,6 +170,16 @@
     CHECK(sum.proofs > 20);
 }
 
+TEST_CASE("membership: two sides that fenced each other meet again", "[membership]")
+{
+    // Guards against a partition that stays after the network is whole, since neither side names the other as
+    // live; loss and cuts led to one with this seed.
+    random_result sum;
+    run_one(5, 1002, 120s, sum);
+    CHECK(sum.late_facts == 0);
+    CHECK(sum.after_proof == 0);
+}
+
 TEST_CASE("membership: long run of one and two faults at once", "[.long][membership]")
 {
     random_result sum;
