decision/membership: no suspicions without authority

Change: suspicions are neither started nor kept without authority. The pings of each region go on and show when contact is back.

--- a/packages/decision/src/membership/probes.cpp
+++ b/packages/decision/src/membership/probes.cpp
@@ -59,7 +59,8 @@
 
 void suspect(membership& members, instance_id subject, incarnation number, time_point now)
 {
-    if (!current(members, subject, number) || members.suspicions.contains(subject)) {
+    if (!has_authority(members, now) || !current(members, subject, number) ||
+        members.suspicions.contains(subject)) {
         return;
     }
     ++members.counters.suspicions;
@@ -85,13 +86,14 @@
 
 void tick_suspicions(membership& members, time_point now, outbox& out)
 {
-    const bool authority = has_authority(members, now);
+    if (!has_authority(members, now)) {
+        // Without contact to a majority the fault may be on this side, and probes of all that does not answer
+        // would grow with the fleet.
+        members.suspicions.clear();
+        return;
+    }
     std::vector<fact> fences;
     for (auto& [subject, doubt] : members.suspicions) {
-        if (!authority) {
-            // Without contact to a majority the fault may be on this side.
-            doubt.since = now;
-        }
         if (now - doubt.since >= members.settings.suspicion_term) {
             fences.push_back({fact_kind::incarnation_fenced, subject.value, doubt.number, {}});
             continue;
