--- a/packages/decision/src/membership/records.cpp
+++ b/packages/decision/src/membership/records.cpp
@@ -36,6 +36,26 @@
     }
 }
 
+// Passes on a hint a few times only; pings repair what is missed.
+void spread_hint(membership& members, instance_id instance)
+{
+    constexpr unsigned hint_sends = 4;
+    const unsigned limit = send_limit(members);
+    if (!members.pulling) {
+        members.record_rumors.try_emplace(instance, limit > hint_sends ? limit - hint_sends : 0);
+    }
+}
+
+// A peer that sends the same change shows that it is spreading: one sending less is needed.
+template <typename Key>
+void count_duplicate(std::map<Key, unsigned>& rumors, const Key& key)
+{
+    const auto found = rumors.find(key);
+    if (found != rumors.end()) {
+        ++found->second;
+    }
+}
+
 // Follows a change of incarnation or state in everything that is derived from it.
 void on_changed(membership& members, member_entry& entry, time_point now)
 {
@@ -100,7 +120,7 @@
     if (record.has_authority && !own.has_authority) {
         own.has_authority = true;
         patch_live(members, own);
-        spread_record(members, own.instance);
+        spread_hint(members, own.instance);
     }
     if (record.configuration_version > own.configuration_version) {
         own.configuration_version = record.configuration_version;
@@ -139,6 +159,7 @@
     if (!entry.known || record.number > entry.record.number) {
         replace_incarnation(members, entry, record, now);
     } else if (record.number == entry.record.number) {
+        count_duplicate(members.record_rumors, record.instance);
         merge_same_incarnation(members, entry, record, now);
     }
 }
@@ -158,6 +179,7 @@
 bool learn_fact(membership& members, const fact& value, bool announce, time_point now)
 {
     if (!members.facts.insert(value).second) {
+        count_duplicate(members.fact_rumors, value);
         return false;
     }
     members.facts_digest ^= fact_hash(value);
