camphorknotctl: take file and customer as arguments, revoke by customer

Cause: the demo calls apply with a file, issues a key to a named customer, reads the key from one JSON document, and revokes all keys of a customer; the client took these by flags only and printed two documents. Ruled out: changing the demo, since the short forms are also what operators type. Conclusion: the demo's calls are understood; the demo itself has not been run here.

--- a/packages/client/src/keys_commands.cpp
+++ b/packages/client/src/keys_commands.cpp
@@ -1,3 +1,5 @@
+#include <sstream>
+
 #include "command_parts.hpp"
 
 namespace camphorknot::client::internal {
@@ -14,85 +16,121 @@
     return hash ? succeed<exit_code>(*hash) : fail<key_hash>(report_failure(context, answer));
 }
 
+std::string customer_of(const command_options& options)
+{
+    return options.arguments.size() == 2 ? options.arguments[1] : options.customer;
+}
+
+void show_key(const command_options& options, std::ostream& out, const key_object& object,
+              const std::string& key, std::uint64_t version)
+{
+    const std::string hash = hex_of(object.hash);
+    if (options.json) {
+        out << json{{"customer", object.customer}, {"key", key}, {"hash", hash}, {"version", version}}.dump()
+            << "\n";
+        return;
+    }
+    out << "key: " << key << "\nhash: " << hash
+        << "\nThe key is shown only now; the system keeps its hash.\n";
+}
+
 exit_code issue_key(const command_options& options, command_context& context)
 {
-    if (options.customer.empty()) {
-        *context.errors << "error: keys issue needs --customer\n";
+    const std::string customer = customer_of(options);
+    if (customer.empty()) {
+        *context.errors << "error: keys issue needs the name of a customer\n";
         return exit_code::usage;
     }
     const auto base = get_configuration(context);
     if (!base) {
         return base.reason;
     }
+    if (!base->objects.contains({object_kind::customer, customer})) {
+        *context.errors << "error: no customer is called '" << customer << "'\n";
+        return exit_code::invalid;
+    }
     const std::string key = context.random_key();
     const auto hash = hash_of_key(context, key);
     if (!hash) {
         return hash.reason;
     }
-    configuration_change change{base->version + 1, {key_object{*hash, options.customer, options.label}}, {}};
-    if (!base->objects.contains({object_kind::customer, options.customer})) {
-        *context.errors << "error: no customer is called '" << options.customer << "'\n";
-        return exit_code::invalid;
-    }
-    const exit_code code = submit_change(options, context, change, *base);
-    const bool may_exist =
-        code == exit_code::done || code == exit_code::timed_out || code == exit_code::unknown;
-    if (may_exist && options.json) {
-        *context.out << json{{"customer", options.customer}, {"key", key}, {"hash", hex_of(*hash)}}.dump()
-                     << "\n";
-    } else if (may_exist) {
-        *context.out << "key: " << key << "\nhash: " << hex_of(*hash)
-                     << "\nThe key is shown only now; the system keeps its hash.\n";
+    const key_object object{*hash, customer, options.label};
+    const configuration_change change{base->version + 1, {object}, {}};
+    // With --output json the key is the only output, so that it can be read as one document.
+    std::ostringstream hidden;
+    command_context submitting = context;
+    submitting.out = options.json ? &hidden : context.out;
+    const exit_code code = submit_change(options, submitting, change, *base);
+    if (code == exit_code::done || code == exit_code::timed_out || code == exit_code::unknown) {
+        show_key(options, *context.out, object, key, change.version);
     }
     return code;
 }
 
-// The one key whose hash begins with @p prefix, or whose label is @p prefix.
-or_exit<key_object> find_key(command_context& context, const configuration& base, const std::string& prefix)
+// The one key with this label or beginning of its hash, or all keys of --customer.
+or_exit<std::vector<key_object>> find_keys(const command_options& options, command_context& context,
+                                           const configuration& base)
 {
+    const bool by_name = options.arguments.size() == 2;
+    const std::string wanted = by_name ? options.arguments[1] : options.customer;
     std::vector<key_object> found;
     for (const key_object& key : objects_of<key_object>(base)) {
-        if (hex_of(key.hash).starts_with(prefix) || key.label == prefix) {
+        const bool named = by_name && (hex_of(key.hash).starts_with(wanted) || key.label == wanted);
+        if (named || (!by_name && key.customer == wanted)) {
             found.push_back(key);
         }
     }
-    if (found.size() == 1) {
-        return succeed<exit_code>(found.front());
+    if (found.size() == 1 || (!by_name && !found.empty())) {
+        return succeed<exit_code>(std::move(found));
+    }
+    *context.errors << "error: " << found.size() << " keys have the "
+                    << (by_name ? "hash or label" : "customer") << " '" << wanted << "'; one is needed\n";
+    return fail<std::vector<key_object>>(exit_code::invalid);
+}
+
+exit_code raise_revocation(command_context& context, const key_object& key)
+{
+    const std::string hash = hex_of(key.hash);
+    const json fact{{"kind", "key_revoked"}, {"key", hash}, {"key_hash", hash}};
+    const admin_answer raised = send(context.admin, {"POST", "/v1/facts", fact.dump()});
+    constexpr unsigned http_first_failure = 300;
+    if (raised.state == delivery::answered && raised.code < http_first_failure) {
+        *context.out << "revoked: " << hash << "\n";
+        return exit_code::done;
     }
-    *context.errors << "error: " << found.size() << " keys have the hash or label '" << prefix
-                    << "'; one is needed\n";
-    return fail<key_object>(exit_code::invalid);
+    const exit_code code = report_failure(context, raised);
+    *context.errors << "error: the key may still work; repeat the command, which does no harm\n";
+    return code;
 }
 
-exit_code revoke_key(const command_options& options, command_context& context)
+exit_code revoke_keys(const command_options& options, command_context& context)
 {
     constexpr std::size_t shortest_prefix = 4;
-    if (options.arguments.size() != 2 || options.arguments[1].size() < shortest_prefix) {
-        *context.errors << "error: keys revoke needs a label, or at least 4 digits of a hash\n";
+    const bool by_name = options.arguments.size() == 2 && options.arguments[1].size() >= shortest_prefix;
+    const bool by_customer = options.arguments.size() == 1 && !options.customer.empty();
+    if (!by_name && !by_customer) {
+        *context.errors << "error: keys revoke needs a label, at least 4 digits of a hash, or --customer\n";
         return exit_code::usage;
     }
     const auto base = get_configuration(context);
     if (!base) {
         return base.reason;
     }
-    const auto key = find_key(context, *base, options.arguments[1]);
-    if (!key) {
-        return key.reason;
+    const auto keys = find_keys(options, context, *base);
+    if (!keys) {
+        return keys.reason;
     }
-    // The fact comes first: it needs no store, and stops the key within seconds.
-    const std::string hash = hex_of(key->hash);
-    const json fact{{"kind", "key_revoked"}, {"key", hash}, {"key_hash", hash}};
-    const admin_answer raised = send(context.admin, {"POST", "/v1/facts", fact.dump()});
-    if (raised.state != delivery::answered || raised.code >= 300) {
-        const exit_code code = report_failure(context, raised);
-        *context.errors << "error: the key may still work; repeat the command, which does no harm\n";
-        return code;
+    // The facts come first: they need no store, and stop the keys within seconds.
+    configuration_change change{base->version + 1, {}, {}};
+    for (const key_object& key : *keys) {
+        if (const exit_code code = raise_revocation(context, key); code != exit_code::done) {
+            return code;
+        }
+        change.removals.push_back(key_of(key));
     }
-    *context.out << "revoked: " << hash << "\n";
-    const configuration_change change{base->version + 1, {}, {key_of(*key)}};
     const exit_code code = submit_change(options, context, change, *base);
     if (code != exit_code::done) {
-        *context.errors << "The key no longer works. Its entry stays until the command is repeated.\n";
+        *context.errors << "The keys no longer work. Their entries stay until the command is repeated.\n";
     }
     return code;
 }
@@ -126,7 +164,7 @@
         return issue_key(options, context);
     }
     if (action == "revoke") {
-        return revoke_key(options, context);
+        return revoke_keys(options, context);
     }
     if (action == "list") {
         return list_keys(options, context);
--- a/packages/client/src/main.cpp
+++ b/packages/client/src/main.cpp
@@ -17,7 +17,7 @@
              "apply: refuse unless this version is in force; -1: the version of the diff");
 DEFINE_bool(wait, true, "apply, keys: wait until the change is in force on all live instances");
 DEFINE_int32(wait_limit_s, 60, "longest time to wait, in seconds");
-DEFINE_string(customer, "", "keys issue: customer that the key belongs to");
+DEFINE_string(customer, "", "keys issue, keys revoke: customer that the keys belong to");
 DEFINE_string(label, "", "keys issue: name of the key in lists");
 
 namespace {
@@ -27,16 +27,17 @@
 constexpr const char* usage =
     "operates a camphorknot fleet\n\n"
     "camphorknotctl COMMAND [ARGUMENTS] [FLAGS]\n\n"
-    "  validate              check the manifest; lists every error\n"
-    "  diff                  show what apply would change; exit code 3 if there is something\n"
-    "  apply                 make the manifest the configuration, unless it changed in between\n"
+    "  validate [FILE]       check the manifest; lists every error\n"
+    "  diff [FILE]           show what apply would change; exit code 3 if there is something\n"
+    "  apply [FILE]          make the manifest the configuration, unless it changed in between\n"
     "  export                print the configuration in force as JSON\n"
     "  status                instances, regions, targets, customers and who lags behind\n"
     "  moves                 planned moves and their stages\n"
     "  watch MOVE            follow a move until it is done or rolled back\n"
     "  watch version NUMBER  wait until a version is in force everywhere\n"
-    "  keys issue            make a key for --customer; shown once\n"
+    "  keys issue CUSTOMER   make a key; shown once\n"
     "  keys revoke KEY       stop the key with this label or beginning of its hash\n"
+    "  keys revoke           stop all keys of --customer\n"
     "  keys list             keys by customer; never the keys themselves\n\n"
     "Exit codes: 0 done, 1 usage, 2 invalid, 3 differs, 4 version_conflict, 5 unreachable, 6 refused,\n"
     "7 rolled_back, 8 timed_out, 9 unknown. The flags are listed by --helpshort.";
@@ -89,6 +90,11 @@
         options.arguments.emplace_back(argv[index]);
     }
     options.manifest_file = FLAGS_manifest;
+    const bool takes_manifest =
+        options.command == "validate" || options.command == "diff" || options.command == "apply";
+    if (takes_manifest && !options.arguments.empty()) {
+        options.manifest_file = options.arguments.front();
+    }
     options.json = FLAGS_output == "json";
     if (FLAGS_expected_version >= 0) {
         options.expected_version = static_cast<std::uint64_t>(FLAGS_expected_version);
