--- a/packages/daemon/src/traffic/body.cpp
+++ b/packages/daemon/src/traffic/body.cpp
@@ -43,7 +43,9 @@
     error_code ec;
     co_await http::async_read_some(stream.socket, request->caller->buffer, request->parser,
                                    asio::redirect_error(asio::use_awaitable, ec));
-    disarm(stream);
+    if (!request->caller->closing) {
+        disarm(stream);
+    }
     if (ec == http::error::need_buffer) {
         ec = {};
     }
--- a/packages/daemon/src/traffic/relay.hpp
+++ b/packages/daemon/src/traffic/relay.hpp
@@ -35,6 +35,7 @@
     caller_connection(worker& thread, tcp::socket from) : stream(thread, std::move(from)) {}
     timed_socket stream;
     boost::beast::flat_buffer buffer;
+    bool closing = false;          ///< Only what still arrives is read, under its own time limit.
     bool watched = false;          ///< A wait for readability is pending.
     relay_state* active = nullptr; ///< Told when the caller goes away.
 };
--- a/packages/daemon/src/traffic/session.cpp
+++ b/packages/daemon/src/traffic/session.cpp
@@ -31,6 +31,7 @@
 {
     timed_socket& stream = caller->stream;
     error_code ec;
+    caller->closing = true;
     stream.socket.shutdown(tcp::socket::shutdown_send, ec);
     arm(stream, linger_limit);
     std::array<char, first_read_size> dropped{};
