--- a/packages/decision/include/camphorknot/budget/settings.hpp
+++ b/packages/decision/include/camphorknot/budget/settings.hpp
@@ -26,6 +26,8 @@
     /// Region whose slots own the budget; absent if all slots do. A region's permits belong to its own
     /// instances: split over the whole fleet, 14 permits leave most instances with one.
     std::optional<region_id> home{};
+    /// The budget came into being while this process ran, so no process before it can have lent from it.
+    bool is_new = false;
 };
 
 struct ledger_settings {
--- a/packages/decision/src/budget/ledger.cpp
+++ b/packages/decision/src/budget/ledger.cpp
@@ -278,7 +278,7 @@
     state.total = total;
     if (added) {
         state.account = make_account(ledger, total, now);
-        state.restart_until = ledger.started + internal::hold_time(ledger, state);
+        state.restart_until = total.is_new ? now : ledger.started + internal::hold_time(ledger, state);
         const auto removed = ledger.removed.find(total.id);
         if (removed != ledger.removed.end()) {
             rise_delay = std::max(rise_delay, removed->second - now);
--- a/packages/decision/src/node/snapshot.cpp
+++ b/packages/decision/src/node/snapshot.cpp
@@ -68,8 +68,11 @@
 
 void set_budget(node& state, const budget_total& total, time_point now)
 {
+    budget_total known = total;
+    // A version that was trusted after this process started did not have the budget yet.
+    known.is_new = state.view && state.view->trusted && !state.budgets.contains(total.id);
     state.budgets.insert(total.id);
-    set_total(state.ledger, total, state.settings.rise_delay, now);
+    set_total(state.ledger, known, state.settings.rise_delay, now);
 }
 
 void set_customer_budget(node& state, const customer_object& customer, time_point now)
--- a/packages/decision/src/routing/targets.cpp
+++ b/packages/decision/src/routing/targets.cpp
@@ -68,7 +68,7 @@
     const bool has_active = !object.active_version.empty();
     set_active_version(service, has_active ? make_id<version_id>(object.active_version) : version_id{});
     for (const route_object& route : object.routes) {
-        const auto route_name = make_id<route_id>(route.name);
+        const route_id route_name = route_id_of(object.name, route.name);
         if (find_route(service, route_name) == nullptr) {
             service.routes.emplace_back().id = route_name;
         }
--- a/packages/decision/tests/routing_model.hpp
+++ b/packages/decision/tests/routing_model.hpp
@@ -188,7 +188,7 @@
     routing_request make_request(const request_state& request) const
     {
         return {.service = make_id<service_id>("s"),
-                .route = make_id<route_id>("get"),
+                .route = route_id_of("s", "get"),
                 .deadline = request.started + request_timeout,
                 .timeout = request_timeout,
                 .tried = request.tried};
@@ -396,7 +396,7 @@
         --request.open_attempts;
         const attempt_report report{.target = make_id<target_id>(objects_[attempt.target].address),
                                     .service = make_id<service_id>("s"),
-                                    .route = make_id<route_id>("get"),
+                                    .route = route_id_of("s", "get"),
                                     .version = make_id<version_id>("v1"),
                                     .result = how,
                                     .latency = now_ - attempt.started,
--- a/packages/decision/tests/routing_test.cpp
+++ b/packages/decision/tests/routing_test.cpp
@@ -42,7 +42,7 @@
     [[nodiscard]] routing_request request(time_point now) const
     {
         return {.service = make_id<service_id>("catalogue"),
-                .route = make_id<route_id>("find"),
+                .route = route_id_of("catalogue", "find"),
                 .deadline = now + 10s,
                 .timeout = 10s};
     }
@@ -52,7 +52,7 @@
         on_attempt_end(state,
                        {.target = choice.target,
                         .service = make_id<service_id>("catalogue"),
-                        .route = make_id<route_id>("find"),
+                        .route = route_id_of("catalogue", "find"),
                         .version = choice.version,
                         .result = result,
                         .latency = latency},
