--- a/tools/bench/control_bench.cpp
+++ b/tools/bench/control_bench.cpp
@@ -34,6 +34,11 @@
 using namespace std::chrono_literals;
 
 constexpr duration message_delay = 20ms;
+/// In the order of peer_message.
+const std::array<std::string, std::variant_size_v<peer_message>> message_names = {
+    "ping",         "ping_ack",     "indirect_ping",  "gossip",      "change_request",
+    "change_reply", "loan_request", "loan_grant",     "loan_return", "spare_report",
+    "fence_notice", "fence_ack",    "rollout_counts", "leave",       "drain_report"};
 constexpr duration store_delay = 3ms;
 
 struct member {
@@ -280,6 +285,7 @@
     double table_reads_per_second = 0;
     double slowest_change_s = 0;
     double with_authority = 0;
+    std::map<std::string, double> bytes_by_message; ///< Bytes a second for each instance.
 };
 
 figures measure(std::size_t count)
@@ -314,6 +320,9 @@
     const double node_seconds = seconds * static_cast<double>(count);
     found.cpu_percent = 100 * run.busy_seconds / node_seconds;
     found.bytes_per_second = static_cast<double>(run.bytes) / node_seconds;
+    for (const auto& [kind, bytes] : run.bytes_by_kind) {
+        found.bytes_by_message[message_names.at(kind)] = static_cast<double>(bytes) / node_seconds;
+    }
     found.messages_per_second = static_cast<double>(run.messages) / node_seconds;
     found.table_reads_per_second = static_cast<double>(run.table.reads - reads) / seconds;
     std::size_t authority = 0;
@@ -333,7 +342,8 @@
             {"heap_mb", one.heap_mb},
             {"table_reads_per_second", one.table_reads_per_second},
             {"slowest_change_s", one.slowest_change_s},
-            {"with_authority", one.with_authority}};
+            {"with_authority", one.with_authority},
+            {"bytes_by_message", one.bytes_by_message}};
 }
 
 } // namespace
@@ -355,6 +365,9 @@
                   << one.heap_mb << std::setw(12) << one.table_reads_per_second << std::setw(12)
                   << one.slowest_change_s << std::setw(10) << one.with_authority << "\n"
                   << std::flush;
+        for (const auto& [name, bytes] : one.bytes_by_message) {
+            std::cout << "    " << name << " " << bytes << " bytes/s\n";
+        }
         all.push_back(to_json(one));
     }
     if (!FLAGS_json.empty()) {
