--- a/tools/standins/target_main.cpp
+++ b/tools/standins/target_main.cpp
@@ -3,7 +3,7 @@
 /// and graceful draining. Watches what the steering system promises to targets: no key arrives, no operation
 /// runs twice, no upload is cut.
 ///
-/// Control port: GET /report; POST /behave
+/// Control port: GET /report; GET /operations (ids that ran); POST /behave
 /// {"version":"v2","route":"/catalogue/","fail_percent":N,"slow_ms":N}.
 #include <iostream>
 #include <map>
@@ -193,6 +193,13 @@
     if (request.target() == "/report") {
         return json_response(200, report(fleet));
     }
+    if (request.target() == "/operations") {
+        json ids = json::array();
+        for (const auto& [id, count] : fleet.operations) {
+            ids.push_back(id);
+        }
+        return json_response(200, ids.dump());
+    }
     const json body = json::parse(request.body(), nullptr, false);
     if (request.target() != "/behave" || !body.is_object()) {
         return json_response(400, R"({"error":"malformed"})");
