Rollout: keep time for the write that ends the last step

Cause: with real processes a good version was rolled back for its deadline at 50%. The plan let the last step end at the very moment at which the deadline forces a rollback; the model missed it as its steps fell exactly on that moment.

--- a/packages/decision/src/rollout/pacing.cpp
+++ b/packages/decision/src/rollout/pacing.cpp
@@ -22,6 +22,9 @@
 constexpr std::uint32_t judged_share_percent = 2;
 /// Shortest time at a step: two rounds of counts and time for a fault to show.
 constexpr duration shortest_step = std::chrono::milliseconds(1500);
+/// Time kept in the plan for the write that ends the last step. Without it the plan ends at the very moment
+/// at which the deadline forces a rollback.
+constexpr duration step_write_time = std::chrono::seconds(1);
 /// Time kept for the write that ends the move.
 constexpr duration write_margin = std::chrono::seconds(3);
 constexpr std::uint64_t least_step_requests = 20;
@@ -69,7 +72,9 @@
     for (std::uint32_t step = move.durable.step; step < last_step; ++step) {
         weights += steps[step].weight;
     }
-    const duration usable = now + left - std::chrono::seconds(move.object.soak_seconds) - move.step_entered;
+
+    const duration usable =
+        now + left - std::chrono::seconds(move.object.soak_seconds) - step_write_time - move.step_entered;
     const duration part =
         weights == 0 ? duration::zero() : usable * steps[move.durable.step].weight / weights;
     return move.step_entered + std::max(shortest_step, part);
@@ -143,7 +148,7 @@
 // Until when a step may wait for evidence.
 time_point waiting_limit(const rollout_move& move, time_point now, duration left)
 {
-    const duration usable = now + left - least_rest(move) - move.step_entered;
+    const duration usable = now + left - least_rest(move) - step_write_time - move.step_entered;
     const double longest = longest_judging_part * static_cast<double>(usable.count());
     return std::max(planned_end(move, now, left),
                     move.step_entered + duration(static_cast<duration::rep>(longest)));
--- a/packages/decision/tests/rollout_model.hpp
+++ b/packages/decision/tests/rollout_model.hpp
@@ -23,6 +23,8 @@
     double slow_factor = 3;    ///< Of a slow version.
     std::uint64_t seed = 1;
     rollout_mechanisms enabled;
+    duration write_time{};            ///< From a decision to its write in force at the holder.
+    std::optional<duration> length{}; ///< From the start to the deadline; absent: 90 to 200 s.
 };
 
 struct rollout_result {
@@ -42,7 +44,8 @@
         : settings_(settings), random_{settings.seed * 104729}
     {
         rate_ = 300 + 1200 * uniform_real(random_);
-        length_ = std::chrono::seconds(90 + uniform(random_, 110));
+        const std::uint64_t drawn = uniform(random_, 110);
+        length_ = settings.length.value_or(std::chrono::seconds(90 + drawn));
         object_ = {.name = "m",
                    .kind = move_kind::rollout,
                    .service = "s",
@@ -227,10 +230,15 @@
         next_write_ = now_ + 250ms;
         const auto wall = static_cast<unix_milliseconds>(now_.time_since_epoch() / 1ms);
         // Any instance may hold the lease.
-        const auto next = next_state(states_[4], durable_.id, wall, now_, std::nullopt);
-        if (!next) {
+        if (!pending_) {
+            pending_ = next_state(states_[4], durable_.id, wall, now_, std::nullopt);
+            pending_due_ = now_ + settings_.write_time;
+        }
+        if (!pending_ || now_ < pending_due_) {
             return;
         }
+        const auto next = std::exchange(pending_, std::nullopt);
+
         const std::uint64_t row = durable_.row_version + 1;
         durable_ = *next;
         durable_.row_version = row;
@@ -242,6 +250,8 @@
         next_write_ = now_ + 500ms;
     }
 
+    std::optional<move_state> pending_;
+    time_point pending_due_{};
     rollout_settings settings_;
     random_source random_;
     const service_object service_{.name = "s", .routes = {}, .active_version = "v1"};
--- a/packages/decision/tests/rollout_model_test.cpp
+++ b/packages/decision/tests/rollout_model_test.cpp
@@ -97,6 +97,18 @@
 
 } // namespace
 
+TEST_CASE("rollout model: a short deadline is met although writes take time", "[rollout][model]")
+{
+    // Guards against a plan that uses all the time up to the last moment: a good version was rolled back at
+    // 50%, since the end of that step and the last moment to go on before the deadline were the same.
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        rollout_settings settings{.kind = defect::none, .seed = seed, .enabled = {}};
+        settings.write_time = std::chrono::milliseconds(700);
+        settings.length = std::chrono::milliseconds(60'007); // Off the grid of the model's steps.
+        CHECK(rollout_model(settings).run().in_time);
+    }
+}
+
 TEST_CASE("rollout model: good versions finish, bad ones are rolled back", "[rollout][model]")
 {
     // Guards the goals of section 1.3 on a few seeds; the long run has all of them.
