--- a/packages/decision/src/node/snapshot.cpp
+++ b/packages/decision/src/node/snapshot.cpp
@@ -5,7 +5,7 @@
 namespace camphorknot {
 namespace {
 
-using internal::add_event;
+
 
 constexpr std::int64_t thousandths = 1000;
 constexpr duration member_check_period = std::chrono::milliseconds(200);
--- a/packages/decision/tests/node_random_test.cpp
+++ b/packages/decision/tests/node_random_test.cpp
@@ -129,7 +129,7 @@
             const auto found = from.find(name);
             return found == from.end() ? 0.0 : static_cast<double>(found->second);
         };
-        const double rate = i % 4 == 0 ? large_rate : small_rate;
+        const auto rate = static_cast<double>(i % 4 == 0 ? large_rate : small_rate);
         const double owed =
             std::min(count(counts.offered), rate * std::chrono::duration<double>(measured).count());
         const bool within = count(counts.offered) <= owed;
--- a/packages/decision/tests/support/node_fleet.cpp
+++ b/packages/decision/tests/support/node_fleet.cpp
@@ -148,7 +148,7 @@
     return std::nullopt;
 }
 
-void node_fleet::apply(configuration_change change)
+void node_fleet::apply(const configuration_change& change)
 {
     const auto index = any_live();
     if (!index) {
@@ -267,7 +267,7 @@
     count_admission(caller);
     running->request = std::move(*answer.request);
     running->operation = shown ? mix_hash(shown->sequence, shown->process_nonce) : 0;
-    send_attempt(std::move(running));
+    send_attempt(running);
 }
 
 reference_bucket& node_fleet::refill(const std::string& customer)
@@ -302,7 +302,7 @@
     expect(!ran || why.run != outcome::not_run, "p7_not_run");
 }
 
-void node_fleet::send_attempt(std::shared_ptr<running_request> running)
+void node_fleet::send_attempt(const std::shared_ptr<running_request>& running)
 {
     const std::size_t index = running->instance;
     const time_point now = scheduler_->local_time(index);
--- a/packages/decision/tests/support/node_fleet.hpp
+++ b/packages/decision/tests/support/node_fleet.hpp
@@ -74,7 +74,7 @@
     /// Runs to the end of the settings' length. @return whether no promise was broken.
     bool run();
     /// Proposes a change at a live instance as an operator does.
-    void apply(configuration_change change);
+    void apply(const configuration_change& change);
     void set_caller(model_caller caller) { callers_.push_back(std::move(caller)); }
     void at(duration when, std::function<void()> action)
     {
@@ -105,7 +105,7 @@
     void plan_caller(std::size_t caller);
     void send_request(const model_caller& caller);
     void start_request(const model_caller& caller, std::size_t index, const std::optional<ticket>& shown);
-    void send_attempt(std::shared_ptr<running_request> running);
+    void send_attempt(const std::shared_ptr<running_request>& running);
     void finish_attempt(const std::shared_ptr<running_request>& running, target_id target, version_id version,
                         time_point sent);
     void check_region_load(const model_target& target);
