Say once what an attempt's end tells of its execution

Cause: the node and routing each had the same table from an attempt's result to what is known of its execution, and one file was not formatted, so that the whole check stopped at once. Change: outcome_of is part of routing; the file is formatted.

--- a/packages/decision/include/camphorknot/routing.hpp
+++ b/packages/decision/include/camphorknot/routing.hpp
@@ -39,6 +39,9 @@
 /// Ends an attempt: frees its place, adapts the window, latency and failure estimates.
 void on_attempt_end(router& state, const attempt_report& report, time_point now);
 
+/// @return what the end of one attempt says of its execution at the target.
+outcome outcome_of(attempt_result result);
+
 /// @return whether to try again after @p report, or the final answer. Takes from the retry budget if it says
 /// retry.
 retry_answer decide_retry(router& state, const routing_request& request, const attempt_report& report,
--- a/packages/decision/src/node/attempts.cpp
+++ b/packages/decision/src/node/attempts.cpp
@@ -113,23 +113,6 @@
            result == attempt_result::timed_out;
 }
 
-outcome known_of(attempt_result result)
-{
-    switch (result) {
-    case attempt_result::shed_before_run:
-    case attempt_result::connect_failed:
-        return outcome::not_run;
-    case attempt_result::answered:
-    case attempt_result::server_error:
-        return outcome::ran;
-    case attempt_result::broken:
-    case attempt_result::timed_out:
-    case attempt_result::cancelled:
-        break;
-    }
-    return outcome::unknown;
-}
-
 // Orders what is known of a request's attempts: one that ran outweighs one that may have run.
 bool more_may_have_run(outcome a, outcome b)
 {
@@ -171,7 +154,7 @@
         shared.permits.erase(permit);
     }
     const retry_answer answer = decide_retry(shared.routing, make_routing_request(request, {}), report, now);
-    request.earlier = std::max(request.earlier, known_of(report.result), more_may_have_run);
+    request.earlier = std::max(request.earlier, outcome_of(report.result), more_may_have_run);
     return answer;
 }
 
--- a/packages/decision/src/node/snapshot.cpp
+++ b/packages/decision/src/node/snapshot.cpp
@@ -5,8 +5,6 @@
 namespace camphorknot {
 namespace {
 
-
-
 constexpr std::int64_t thousandths = 1000;
 constexpr duration member_check_period = std::chrono::milliseconds(200);
 constexpr std::int64_t link_burst_ms = 100; ///< A link's budget may be used ahead by this much time.
--- a/packages/decision/src/routing/retry.cpp
+++ b/packages/decision/src/routing/retry.cpp
@@ -20,23 +20,6 @@
 constexpr duration budget_wait = std::chrono::seconds(1);
 constexpr duration shortest_wait = std::chrono::milliseconds(10);
 
-outcome outcome_of(attempt_result result)
-{
-    switch (result) {
-    case attempt_result::shed_before_run:
-    case attempt_result::connect_failed:
-        return outcome::not_run;
-    case attempt_result::answered:
-    case attempt_result::server_error:
-        return outcome::ran;
-    case attempt_result::broken:
-    case attempt_result::timed_out:
-    case attempt_result::cancelled:
-        break;
-    }
-    return outcome::unknown;
-}
-
 refusal_reason reason_of(attempt_result result)
 {
     switch (result) {
@@ -121,6 +104,23 @@
 
 } // namespace internal
 
+outcome outcome_of(attempt_result result)
+{
+    switch (result) {
+    case attempt_result::shed_before_run:
+    case attempt_result::connect_failed:
+        return outcome::not_run;
+    case attempt_result::answered:
+    case attempt_result::server_error:
+        return outcome::ran;
+    case attempt_result::broken:
+    case attempt_result::timed_out:
+    case attempt_result::cancelled:
+        break;
+    }
+    return outcome::unknown;
+}
+
 retry_answer decide_retry(router& state, const routing_request& request, const attempt_report& report,
                           time_point now)
 {
