--- a/packages/decision/include/camphorknot/messages.hpp
+++ b/packages/decision/include/camphorknot/messages.hpp
@@ -49,9 +49,10 @@
 /// A merging fact. The subject's meaning depends on the kind.
 struct fact {
     fact_kind kind{};
-    std::uint64_t subject = 0; ///< version_id, target_id or instance_id; 0 for a key.
-    std::uint64_t detail =
-        0; ///< incarnation for incarnation_fenced and instance_leaving; service_id for version_stopped.
+    std::uint64_t subject =
+        0; ///< version_id, target_id or instance_id; 0 for a key.
+           /// incarnation for incarnation_fenced and instance_leaving; service_id for version_stopped.
+    std::uint64_t detail = 0;
     key_hash key{}; ///< Only for key_revoked.
     // The linter takes the zero in rewritten comparisons for a null pointer.
     friend auto operator<=>(const fact&, const fact&) = default; // NOLINT(modernize-use-nullptr)
@@ -65,8 +66,8 @@
 struct ping_ack {
     std::uint64_t sequence = 0;
     region_id region; ///< Region of the instance that answers; zero: it lives, but gives no contact.
-    incarnation fenced_number =
-        0; ///< Highest fenced incarnation known for the receiver's address; 0 for none.
+                      /// Highest fenced incarnation known for the receiver's address; 0 for none.
+    incarnation fenced_number = 0;
     std::uint64_t configuration_version = 0;
     std::uint64_t ticket_epoch = 0; ///< Of the instance that answers.
 };
@@ -164,8 +165,8 @@
     instance_id subject;
     incarnation number = 0;
     region_id region;
-    incarnation newest_number =
-        0; ///< Highest incarnation that the answering instance has seen at the address.
+    /// Highest incarnation that the answering instance has seen at the address.
+    incarnation newest_number = 0;
 };
 
 /// What the entries of rollout_counts sum up.
--- a/packages/decision/include/camphorknot/rollout.hpp
+++ b/packages/decision/include/camphorknot/rollout.hpp
@@ -48,7 +48,8 @@
 /// @return the present verdict on the move's new version.
 verdict judge(const rollout_state& state, move_id move);
 
-/// What the move's lease holder should write next, or nothing. The write is conditional on row_version.
+/// What the move's lease holder should write next, or nothing. The write is conditional on the
+/// configuration's version.
 /// @param drained_in_flight requests in flight to the move's targets on all instances, if known.
 std::optional<move_state> next_state(const rollout_state& state, move_id move, unix_milliseconds wall_now,
                                      time_point now, std::optional<std::uint64_t> drained_in_flight);
--- a/packages/decision/include/camphorknot/rollout/move.hpp
+++ b/packages/decision/include/camphorknot/rollout/move.hpp
@@ -19,14 +19,14 @@
     cut_at_deadline
 };
 
-/// Durable state of a move: the table row "move/<name>".
+/// Durable state of a move; the configuration keeps it as a move_progress_object.
 struct move_state {
     move_id id{};
     move_stage stage = move_stage::waiting;
     std::uint32_t share_percent = 0; ///< Share of the new version.
     std::uint32_t step = 0;          ///< Index into the stages.
     move_reason reason = move_reason::none;
-    std::uint64_t row_version = 0; ///< Version of the table row; a change is conditional on it.
+    std::uint64_t row_version = 0; ///< Version of the configuration that holds it; an older state is ignored.
     std::uint64_t fencing_token = 0;
 };
 
