Fleet: duties are decided without copying contacts, and warm targets again only when instances or targets changed

Cause: for each of 486 targets, at each tick, the rank of this instance was found from a fresh copy of 88 contacts with five strings each. Ruled out: heartbeats of targets, which are left out before they reach the targets' list. Change: names of live instances are visited in place; the candidates for duties are hashed once, and the targets that this instance warms are kept until candidates or targets change. Also: the start counts as contact with the store, so that a store that is away then is logged as lost.

--- a/packages/decision/include/camphorknot/steering/fleet.hpp
+++ b/packages/decision/include/camphorknot/steering/fleet.hpp
@@ -156,6 +156,13 @@
 /// duty.
 std::size_t duty_rank(const fleet& known, std::string_view name, time_point now);
 
+/// @return the other live instances as candidates for duties, sorted, so that two results can be compared.
+std::vector<std::uint64_t> live_candidates(const fleet& known, time_point now);
+
+/// @param candidates from live_candidates; for many duties at once.
+/// @return whether this instance has the duty @p name, as duty_rank does with 0.
+bool has_duty(const fleet& known, std::span<const std::uint64_t> candidates, std::string_view name);
+
 /// @return peer address of the instance of the own failure domain that keeps the rate of @p customer; empty
 /// if it is this one.
 std::string keeper_of(const fleet& known, std::string_view customer, time_point now);
--- a/packages/decision/src/steering/fleet.cpp
+++ b/packages/decision/src/steering/fleet.cpp
@@ -99,6 +99,23 @@
     known.last_seen[name] = now;
 }
 
+// Calls @p visit with the name of each live instance but this one.
+void for_each_live_name(const fleet& known, time_point now, auto visit)
+{
+    for (const auto& [name, member] : known.members) {
+        if (is_alive(known, member, now) && !member.status.leaving) {
+            visit(name);
+        }
+    }
+    for (const auto& [name, domain] : known.domains) {
+        if (is_alive(known, domain, now)) {
+            for (const instance_contact& each : domain.summary.members) {
+                visit(each.name);
+            }
+        }
+    }
+}
+
 std::vector<instance_contact> live_contacts(const fleet& known, bool own_is_ready, time_point now)
 {
     std::vector<instance_contact> contacts;
@@ -205,7 +222,9 @@
 
 std::size_t live_instances(const fleet& known, time_point now)
 {
-    return live_contacts(known, true, now).size();
+    std::size_t count = 1;
+    for_each_live_name(known, now, [&](const std::string& /*name*/) { ++count; });
+    return count;
 }
 
 std::size_t possible_instances(const fleet& known, time_point now)
@@ -239,9 +258,25 @@
 std::size_t duty_rank(const fleet& known, std::string_view name, time_point now)
 {
     const std::uint64_t own = duty_weight(known.own.name, name);
-    const auto contacts = live_contacts(known, false, now);
-    return static_cast<std::size_t>(std::ranges::count_if(
-        contacts, [&](const instance_contact& each) { return duty_weight(each.name, name) > own; }));
+    std::size_t before = 0;
+    for_each_live_name(known, now,
+                       [&](const std::string& other) { before += duty_weight(other, name) > own ? 1 : 0; });
+    return before;
+}
+
+std::vector<std::uint64_t> live_candidates(const fleet& known, time_point now)
+{
+    std::vector<std::uint64_t> candidates;
+    for_each_live_name(known, now, [&](const std::string& name) { candidates.push_back(hash_name(name)); });
+    std::ranges::sort(candidates);
+    return candidates;
+}
+
+bool has_duty(const fleet& known, std::span<const std::uint64_t> candidates, std::string_view name)
+{
+    const std::uint64_t duty = hash_name(name);
+    const std::uint64_t own = mix_hash(hash_name(known.own.name), duty);
+    return std::ranges::none_of(candidates, [&](std::uint64_t other) { return mix_hash(other, duty) > own; });
 }
 
 std::string keeper_of(const fleet& known, std::string_view customer, time_point now)
--- a/packages/decision/tests/steering_fleet_test.cpp
+++ b/packages/decision/tests/steering_fleet_test.cpp
@@ -90,7 +90,9 @@
                     note_status(known, make_instance_status(other), start);
                 }
             }
-            holders += duty_rank(known, duty, start) == 0 ? 1 : 0;
+            const bool holds = duty_rank(known, duty, start) == 0;
+            CHECK(has_duty(known, live_candidates(known, start), duty) == holds);
+            holders += holds ? 1 : 0;
         }
         CHECK(holders == 1);
     }
--- a/packages/edge/src/control.cpp
+++ b/packages/edge/src/control.cpp
@@ -51,18 +51,25 @@
     return state.tick_count >= settling_ticks && (has_others || is_single);
 }
 
-std::set<std::string> targets_warmed_here(const control& state, time_point now)
+// Weighs each target against each instance, so it is done again only when one of them has changed.
+std::set<std::string> targets_warmed_here(control& state, time_point now)
 {
-    std::set<std::string> warmed;
     if (!is_settled(state) || !steering::hears_most(state.fleet, now)) {
-        return warmed;
+        return {};
     }
-    for (const auto& [id, each] : state.targets) {
-        if (steering::duty_rank(state.fleet, "warm/" + id, now) == 0) {
-            warmed.insert(id);
+    std::vector<std::uint64_t> candidates = steering::live_candidates(state.fleet, now);
+    warm_duties& known = state.warm_duties_known;
+    if (known.targets != state.published_targets || known.candidates != candidates) {
+        known.targets = state.published_targets;
+        known.candidates = std::move(candidates);
+        known.own.clear();
+        for (const auto& [id, each] : state.targets) {
+            if (steering::has_duty(state.fleet, known.candidates, "warm/" + id)) {
+                known.own.insert(id);
+            }
         }
     }
-    return warmed;
+    return known.own;
 }
 
 // Each small rate is kept by one instance of the failure domain, chosen by hash.
--- a/packages/edge/src/control.hpp
+++ b/packages/edge/src/control.hpp
@@ -22,6 +22,13 @@
     time_point advanced{};
 };
 
+/// Which targets this instance warms, for the instances and targets that it was found for.
+struct warm_duties {
+    std::vector<std::uint64_t> candidates;
+    std::shared_ptr<const std::vector<steering::target>> targets;
+    std::set<std::string> own;
+};
+
 /// State of the control thread. All functions are called in its thread, but for start and post.
 struct control {
     control(edge_settings& used, metrics& counted) : settings(used), page(counted) {}
@@ -45,6 +52,7 @@
     std::map<std::string, steering::target> targets;
     std::shared_ptr<const std::vector<steering::target>> published_targets;
     bool targets_changed = true;
+    warm_duties warm_duties_known;
     std::set<std::string> evacuated;
     std::map<std::string, steering::rollout_order> orders;  ///< By service.
     std::map<std::string, steering::rollout_record> states; ///< By service.
@@ -58,7 +66,8 @@
     std::map<std::string, steering::instance_contact> contacts; ///< Own failure domain, by peer address.
     std::vector<steering::instance_contact> registered;         ///< Instances in the store, as of the start.
     bool stopping = false;
-    bool store_reachable = false;
+    bool store_reachable =
+        true; ///< As of the last call; a process expects the store to be there at its start.
     log_limiter log;
     std::function<void(traffic_view)> publish;
     /// Takes a token from the rates that this instance keeps; calls back in any thread.
