Client: explain names the cause of a failed request from collected logs, failures sums up a span of time

Cause: finding a request's cause meant to search the logs of all instances by hand. Change: `camphorknotctl explain ID FILE...` puts the lines of an attempt in order with what its instance believed before (configuration, target, store, peers) and names the cause in a sentence; `failures FILE...` counts refusals by reason, failed sends by target, customers over their rate and lost dependencies.

--- a/packages/client/include/camphorknot/client/commands.hpp
+++ b/packages/client/include/camphorknot/client/commands.hpp
@@ -36,6 +36,8 @@
     std::chrono::milliseconds poll_period{500};
     std::string customer; ///< Of keys issue.
     std::string label;    ///< Of keys issue.
+    std::string from;     ///< Of failures: first and last time, as in the lines; empty for no bound.
+    std::string to;
 };
 
 /// Where a command reads and writes; tests replace them.
--- a/packages/client/src/command_parts.hpp
+++ b/packages/client/src/command_parts.hpp
@@ -44,5 +44,6 @@
 exit_code run_keys_command(const command_options& options, command_context& context);
 exit_code run_status_command(const command_options& options, command_context& context);
 exit_code run_watch_command(const command_options& options, command_context& context);
+exit_code run_log_command(const command_options& options, command_context& context);
 
 } // namespace camphorknot::client::internal
--- a/packages/client/src/main.cpp
+++ b/packages/client/src/main.cpp
@@ -18,6 +18,8 @@
 DEFINE_bool(wait, true, "apply, keys: wait until the change is in force on all live instances");
 DEFINE_int32(wait_limit_s, 60, "longest time to wait, in seconds");
 DEFINE_string(customer, "", "keys issue, keys revoke: customer that the keys belong to");
+DEFINE_string(from, "", "failures: first time, as in the lines, such as 2026-01-31T08:00:00");
+DEFINE_string(to, "", "failures: last time");
 DEFINE_string(label, "", "keys issue: name of the key in lists");
 
 namespace {
@@ -38,7 +40,10 @@
     "  keys issue CUSTOMER   make a key; shown once\n"
     "  keys revoke KEY       stop the key with this label or beginning of its hash\n"
     "  keys revoke           stop all keys of --customer\n"
-    "  keys list             keys by customer; never the keys themselves\n\n"
+    "  keys list             keys by customer; never the keys themselves\n"
+    "  explain ID FILE...    the lines of one request in log files of several instances, and its cause\n"
+    "  failures FILE...      refusals, failed sends and lost dependencies in log files, from --from to "
+    "--to\n\n"
     "Exit codes: 0 done, 1 usage, 2 invalid, 3 differs, 4 version_conflict, 5 unreachable, 6 refused,\n"
     "7 rolled_back, 8 timed_out, 9 unknown. The flags are listed by --helpshort.";
 
@@ -103,6 +108,8 @@
     options.wait_limit = std::chrono::seconds(FLAGS_wait_limit_s);
     options.customer = FLAGS_customer;
     options.label = FLAGS_label;
+    options.from = FLAGS_from;
+    options.to = FLAGS_to;
     return options;
 }
 
--- a/packages/client/src/status_commands.cpp
+++ b/packages/client/src/status_commands.cpp
@@ -290,6 +290,9 @@
     if (name == "watch") {
         return internal::run_watch_command(options, context);
     }
+    if (name == "explain" || name == "failures") {
+        return internal::run_log_command(options, context);
+    }
     *context.errors << "error: unknown command '" << name << "'; see camphorknotctl --help\n";
     return exit_code::usage;
 }
--- /dev/null
+++ b/packages/client/tests/client_explain_test.cpp
@@ -0,0 +1,110 @@
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+#include "camphorknot/client/commands.hpp"
+#include "camphorknot/client/explain.hpp"
+
+using namespace camphorknot::client;
+
+namespace {
+
+const std::string first_log =
+    R"({"time":"2026-01-01T00:00:01.000000Z","severity":"info","event":"started","instance":"edge-1"}
+{"time":"2026-01-01T00:00:02.000000Z","severity":"info","event":"configuration_applied","version":"3"}
+{"time":"2026-01-01T00:00:02.500000Z","severity":"info","event":"target_seen","target":"i-7","draining":"false"}
+{"time":"2026-01-01T00:00:03.000000Z","severity":"warning","event":"store_lost","status":"busy"}
+{"time":"2026-01-01T00:00:04.000000Z","severity":"warning","event":"send_failed","request":"r1","target":"i-7","end":"broken","took_ms":"12"}
+{"time":"2026-01-01T00:00:04.000100Z","severity":"info","event":"request_refused","request":"r1","reason":"answer_lost","status":"502"}
+{"time":"2026-01-01T00:00:05.000000Z","severity":"info","event":"target_gone","target":"i-7","lines_left_out":"4"}
+not a line
+)";
+
+const std::string second_log =
+    R"({"time":"2026-01-01T00:00:01.000000Z","severity":"info","event":"started","instance":"edge-2"}
+{"time":"2026-01-01T00:00:03.500000Z","severity":"info","event":"store_lost","status":"busy"}
+{"time":"2026-01-01T00:00:09.000000Z","severity":"info","event":"request_refused","request":"r2","reason":"rate_exceeded","customer":"kase","share":"0.1","rate_per_s":"15"}
+)";
+
+collected_logs read_both()
+{
+    collected_logs logs;
+    std::istringstream first(first_log);
+    std::istringstream second(second_log);
+    read_log(first, "a.jsonl", logs);
+    read_log(second, "b.jsonl", logs);
+    return logs;
+}
+
+} // namespace
+
+TEST_CASE("explain: a request's lines come with what its own instance believed before, in order")
+{
+    const collected_logs logs = read_both();
+    CHECK(logs.unreadable == 1);
+    const explanation found = explain_request(logs.lines, "r1");
+    std::vector<std::string> events;
+    for (const log_line& each : found.lines) {
+        CHECK(each.instance == "edge-1");
+        events.push_back(each.event);
+    }
+    CHECK(events == std::vector<std::string>{"configuration_applied", "target_seen", "store_lost",
+                                             "send_failed", "request_refused"});
+    CHECK(found.cause ==
+          "The request reached target i-7, whose connection ended before the answer was whole; "
+          "it may have run. The target left afterwards.");
+}
+
+TEST_CASE("explain: a request without lines has no cause")
+{
+    const collected_logs logs = read_both();
+    CHECK(explain_request(logs.lines, "r9").lines.empty());
+    CHECK(explain_request(logs.lines, "r9").cause.empty());
+}
+
+TEST_CASE("explain: a span's summary counts by reason, target, customer and dependency")
+{
+    const collected_logs logs = read_both();
+    const log_summary whole = summarize_logs(logs.lines, "", "");
+    CHECK(whole.refusals == std::map<std::string, std::uint64_t>{{"answer_lost", 1}, {"rate_exceeded", 1}});
+    CHECK(whole.failed_sends == std::map<std::string, std::uint64_t>{{"i-7", 1}});
+    CHECK(whole.refused_customers == std::map<std::string, std::uint64_t>{{"kase", 1}});
+    CHECK(whole.lost_dependencies.size() == 2);
+    CHECK(whole.lines_left_out == 4);
+    const log_summary later = summarize_logs(logs.lines, "2026-01-01T00:00:08", "2026-01-01T00:00:10");
+    CHECK(later.refusals == std::map<std::string, std::uint64_t>{{"rate_exceeded", 1}});
+}
+
+TEST_CASE("explain: the command prints lines and cause, and tells unreadable files from unknown requests")
+{
+    const auto file =
+        std::filesystem::temp_directory_path() / ("explain-" + std::to_string(::getpid()) + ".jsonl");
+    std::ofstream(file) << second_log;
+    std::ostringstream printed;
+    std::ostringstream errors;
+    command_context context;
+    context.out = &printed;
+    context.errors = &errors;
+    command_options options;
+    options.command = "explain";
+    options.arguments = {"r2", file.string()};
+    CHECK(run_command(options, context) == exit_code::done);
+    CHECK_THAT(printed.str(),
+               Catch::Contains("edge-2") && Catch::Contains("Customer kase was above its rate"));
+    options.arguments = {"r3", file.string()};
+    CHECK(run_command(options, context) == exit_code::unknown);
+    options.arguments = {"r2", file.string() + ".missing"};
+    CHECK(run_command(options, context) == exit_code::usage);
+    options.arguments = {"r2"};
+    CHECK(run_command(options, context) == exit_code::usage);
+    options.command = "failures";
+    options.arguments = {file.string()};
+    options.json = true;
+    printed.str("");
+    CHECK(run_command(options, context) == exit_code::done);
+    CHECK_THAT(printed.str(), Catch::Contains("\"rate_exceeded\": 1"));
+    std::filesystem::remove(file);
+}
--- /dev/null
+++ b/packages/edge/tests/edge_explain_test.cpp
@@ -0,0 +1,168 @@
+// Faults that a caller sees, whose cause has to be found in the log lines alone.
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <fstream>
+
+#include "camphorknot/client/explain.hpp"
+#include "camphorknot/kernel/log.hpp"
+#include "edge_fixture.hpp"
+
+using namespace edge_tests;
+using camphorknot::client::explanation;
+using standins::server_act;
+
+namespace {
+
+/// A directory of its own with the log of this process.
+struct captured_log {
+    std::filesystem::path directory =
+        std::filesystem::temp_directory_path() / ("camphorknot-explain-" + std::to_string(::getpid()));
+
+    captured_log()
+    {
+        std::filesystem::remove_all(directory);
+        std::filesystem::create_directories(directory);
+        REQUIRE(camphorknot::open_log(directory.string()));
+    }
+    ~captured_log()
+    {
+        camphorknot::close_log();
+        std::filesystem::remove_all(directory);
+    }
+    captured_log(const captured_log&) = delete;
+    captured_log& operator=(const captured_log&) = delete;
+
+    explanation explain(const std::string& request) const
+    {
+        camphorknot::client::collected_logs logs;
+        std::ifstream in(directory / "camphorknotd.jsonl");
+        camphorknot::client::read_log(in, "edge-1", logs);
+        CHECK(logs.unreadable == 0);
+        return camphorknot::client::explain_request(logs.lines, request);
+    }
+
+    // The line of a request may be written after its answer.
+    std::string cause_of(const std::string& request) const
+    {
+        eventually([&] { return !explain(request).cause.empty(); });
+        return explain(request).cause;
+    }
+};
+
+caller_request unsafe_request(const std::string& attempt)
+{
+    return make_request(http::verb::post, "/seal/1", attempt, "x");
+}
+
+} // namespace
+
+TEST_CASE("edge explain: what a target did to a request is told by the lines")
+{
+    const captured_log log;
+    edge_fixture fixture;
+    const auto cause_with = [&](server_act act, const std::string& attempt) {
+        standins::set_script(*fixture.servers.front(), {act});
+        fixture.ask(unsafe_request(attempt));
+        return log.cause_of(attempt);
+    };
+    CHECK_THAT(cause_with(server_act::reset_after_read, "lost"),
+               Catch::Contains("target i-1, whose connection ended"));
+    CHECK_THAT(cause_with(server_act::fail, "failed"),
+               Catch::Contains("failed at target i-1 with status 500"));
+    CHECK_THAT(cause_with(server_act::refuse_unproved, "unproved"),
+               Catch::Contains("target i-1, which answered with a status that promises"));
+    std::this_thread::sleep_for(1200ms); // The target is tried again after its failures.
+    CHECK_THAT(cause_with(server_act::silent, "silent"),
+               Catch::Contains("target i-1, which did not answer in the time"));
+}
+
+TEST_CASE("edge explain: a target that sheds, and one that cannot be reached")
+{
+    const captured_log log;
+    edge_fixture fixture;
+    fixture.servers.front()->usual = server_act::shed;
+    fixture.ask(unsafe_request("shed"));
+    CHECK_THAT(log.cause_of("shed"), Catch::Contains("refused by target i-1 without running it"));
+    const std::uint16_t closed = free_port();
+    fixture.register_server("i-1", closed, "ready", 200);
+    CHECK(eventually([&] {
+        return fixture.ask(unsafe_request("away")).result_int() == 503 &&
+               log.explain("away").cause.find("No connection") != std::string::npos;
+    }));
+}
+
+TEST_CASE("edge explain: what the configuration does not allow")
+{
+    const captured_log log;
+    edge_fixture fixture;
+    caller_request request = unsafe_request("key");
+    request.set(http::field::authorization, "Token key-none");
+    fixture.ask(request);
+    CHECK_THAT(log.cause_of("key"), Catch::Contains("key is missing or not in configuration"));
+    fixture.ask(make_request(http::verb::get, "/nothing/1", "route"));
+    CHECK_THAT(log.cause_of("route"), Catch::Contains("has no route for host seals.example"));
+}
+
+TEST_CASE("edge explain: a customer above its rate")
+{
+    const captured_log log;
+    edge_fixture fixture;
+    standins::put_row(
+        *fixture.store, "op", "config",
+        configuration_row(2, R"({"resource_kind":"tenants","metadata":{"name":"gullfoss"},"spec":
+                          {"api_keys":["key-one"],"rate_per_s":2,"burst":2}},)"));
+    int sent = 0;
+    std::string refused;
+    CHECK(eventually([&] {
+        refused = "rate-" + std::to_string(++sent);
+        return fixture.ask(unsafe_request(refused)).result_int() == 429;
+    }));
+    CHECK_THAT(log.cause_of(refused), Catch::Contains("Customer gullfoss was above its rate of 2.0"));
+}
+
+TEST_CASE("edge explain: no target left, and what the instance believed of the one that went")
+{
+    const captured_log log;
+    edge_fixture fixture;
+    standins::drop_row(*fixture.store, "servers", "i-1");
+    int sent = 0;
+    std::string refused;
+    CHECK(eventually([&] {
+        refused = "none-" + std::to_string(++sent);
+        return fixture.ask(unsafe_request(refused)).result_int() == 503;
+    }));
+    CHECK_THAT(log.cause_of(refused), Catch::Contains("no usable target of service desk"));
+}
+
+TEST_CASE("edge explain: a caller that leaves")
+{
+    const captured_log log;
+    edge_fixture fixture;
+    fixture.servers.front()->usual = server_act::silent;
+    {
+        caller gone(fixture.settings.front.port);
+        http::write(gone.stream, make_request(http::verb::get, "/find/1", "gone"));
+        std::this_thread::sleep_for(100ms);
+    }
+    CHECK_THAT(log.cause_of("gone"), Catch::Contains("caller closed its connection"));
+}
+
+TEST_CASE("edge explain: a process that has no configuration yet, and the store that it does not reach")
+{
+    const captured_log log;
+    edge_fixture fixture;
+    fixture.running.reset();
+    fixture.store->fault = standins::store_fault::busy;
+    fixture.choose_ports();
+    auto made = camphorknot::edge::start_instance(fixture.settings);
+    REQUIRE(made);
+    fixture.running = std::move(*made);
+    fixture.ask(unsafe_request("early"));
+    CHECK_THAT(log.cause_of("early"), Catch::Contains("neither the store nor a peer"));
+    CHECK(eventually([&] {
+        fixture.ask(unsafe_request("later"));
+        const auto lines = log.explain("later").lines;
+        return std::ranges::any_of(lines, [](const auto& line) { return line.event == "store_lost"; });
+    }));
+}
