Fleet: a speaker introduces its failure domain where it is not heard; instances write themselves into the table before they read it

The refusals' inputs showed that instances of mindanao held shares as if the whole demand were 430 a second and those of luzon as if it were 820. A debugging run showed why: edge-mindanao-c-1 knew 50 instances of 88, as four of nine failure domains had never been heard. All start together, read the table before the others have written to it, and say hello to seeds in five failure domains only; two failure domains of which neither knows the other stay so for ever. Change: each instance writes its row, then reads the table, so that of any two at least one finds the other. A speaker sends its summary also to one registered instance of each failure domain that it does not hear, and reads the table again each 10 s while one is missing. Seeds tell newcomers the speakers of other failure domains, for starts during an outage. Registered instances count as possibly running for a while before they are heard. Failure domains that come and go are logged.

--- a/packages/decision/include/camphorknot/steering/fleet.hpp
+++ b/packages/decision/include/camphorknot/steering/fleet.hpp
@@ -110,6 +110,7 @@
     struct domain {
         domain_summary summary;
         time_point heard{};
+        bool was_alive = false;
     };
     fleet_tuning tuning;
     instance_identity own{};
@@ -124,6 +125,16 @@
 /// @return false if the summary is not newer than the known one.
 bool note_summary(fleet& known, domain_summary summary, time_point now);
 
+/// Counts instances that the store or a peer names, and that were not heard yet, as ones that may be running.
+void note_registered(fleet& known, std::span<const instance_contact> registered, time_point now);
+
+/// Instances to which a speaker introduces its failure domain, one of each other failure domain that is not
+/// heard: without this, two failure domains of which neither hears the other would never begin to.
+/// @param round picks another instance of each failure domain as it increases.
+std::vector<instance_contact> contacts_of_unheard(const fleet& known,
+                                                  std::span<const instance_contact> registered,
+                                                  std::uint64_t round, time_point now);
+
 /// Forgets instances and failure domains that were not heard for long.
 /// @return peer addresses of the forgotten instances of the own failure domain.
 std::vector<std::string> forget_silent(fleet& known, time_point now);
--- a/packages/decision/src/steering/fleet.cpp
+++ b/packages/decision/src/steering/fleet.cpp
@@ -170,6 +170,35 @@
     return true;
 }
 
+void note_registered(fleet& known, std::span<const instance_contact> registered, time_point now)
+{
+    for (const instance_contact& each : registered) {
+        if (each.name != known.own.name) {
+            known.last_seen.try_emplace(each.name, now);
+        }
+    }
+}
+
+std::vector<instance_contact> contacts_of_unheard(const fleet& known,
+                                                  std::span<const instance_contact> registered,
+                                                  std::uint64_t round, time_point now)
+{
+    std::map<std::string_view, std::vector<const instance_contact*>> unheard;
+    for (const instance_contact& each : registered) {
+        const auto domain = known.domains.find(each.failure_domain);
+        const bool is_heard = domain != known.domains.end() && is_alive(known, domain->second, now);
+        if (each.failure_domain != known.own.failure_domain && !is_heard) {
+            unheard[each.failure_domain].push_back(&each);
+        }
+    }
+    std::vector<instance_contact> contacts;
+    contacts.reserve(unheard.size());
+    for (const auto& [domain, members] : unheard) {
+        contacts.push_back(*members.at(round % members.size()));
+    }
+    return contacts;
+}
+
 std::vector<std::string> forget_silent(fleet& known, time_point now)
 {
     std::vector<std::string> forgotten;
--- a/packages/decision/tests/steering_fleet_test.cpp
+++ b/packages/decision/tests/steering_fleet_test.cpp
@@ -98,6 +98,58 @@
     }
 }
 
+TEST_CASE("fleet: failure domains that never heard of each other begin to through registered instances")
+{
+    // Nine failure domains started at once; some never heard of each other, and each divided the customers'
+    // rates by the instances that it knew.
+    const std::vector<std::string> domains = {"a", "b", "c", "d", "e", "f", "g", "h", "i"};
+    std::map<std::string, fleet> speakers;
+    std::vector<instance_contact> registered;
+    std::map<std::string, std::vector<instance_contact>> read;
+    for (const std::string& domain : domains) {
+        speakers[domain].own = make_identity("edge-" + domain, domain, "rvk");
+        registered.push_back(contact_of(speakers[domain].own));
+        read[domain] = registered; // Those that have written before.
+    }
+    time_point now = start;
+    for (std::uint64_t round = 0; round < 3; ++round, now += 800ms) {
+        for (const std::string& domain : domains) {
+            const domain_summary summary = make_domain(domain, "rvk", {"edge-" + domain}, round + 1);
+            std::set<std::string> receivers;
+            for (const auto& [heard, entry] : speakers[domain].domains) {
+                receivers.insert(heard);
+            }
+            for (const instance_contact& each :
+                 contacts_of_unheard(speakers[domain], read[domain], round, now)) {
+                receivers.insert(each.failure_domain);
+            }
+            for (const std::string& receiver : receivers) {
+                note_summary(speakers[receiver], summary, now);
+            }
+        }
+    }
+    for (const std::string& domain : domains) {
+        CHECK(live_instances(speakers[domain], now) == domains.size());
+    }
+}
+
+TEST_CASE("fleet: instances that were registered and not heard count as running for a while")
+{
+    fleet known = make_fleet();
+    CHECK(possible_instances(known, start) == 5);
+    note_registered(known, std::vector{contact_of(make_identity("six", "egs-a", "egs"))}, start);
+    CHECK(possible_instances(known, start) == 6);
+    CHECK(live_instances(known, start) == 5);
+    const time_point later = start + 21s;
+    for (const std::string name : {"two"}) {
+        note_status(known, make_instance_status(name, 2), later);
+    }
+    note_summary(known, make_domain("rvk-b", "rvk", {"three"}, 2), later);
+    note_summary(known, make_domain("aku-a", "aku", {"four", "five"}, 2), later);
+    forget_silent(known, later);
+    CHECK(possible_instances(known, later) == 5);
+}
+
 TEST_CASE("fleet: an instance that the store turns away hands reading over")
 {
     fleet known = make_fleet();
--- a/packages/decision/tests/steering_rates_test.cpp
+++ b/packages/decision/tests/steering_rates_test.cpp
@@ -27,6 +27,7 @@
     std::vector<std::vector<double>> reports; ///< By step, newest first; demand by instance.
     time_point now = start;
     std::vector<time_point> ran;
+    std::vector<double> weights; ///< Of the instances for callers; all alike if empty.
 
     explicit rate_fleet(const rate_fleet_settings& settings)
         : used(settings), members(settings.instances), cut(settings.instances)
@@ -62,6 +63,25 @@
         }
     }
 
+    // Gives each instance a part of the requests of its own, up to ten times that of another.
+    void move_callers(random_source& random)
+    {
+        weights.clear();
+        for (std::size_t index = 0; index < members.size(); ++index) {
+            weights.push_back(0.2 + 1.8 * uniform_real(random));
+        }
+    }
+
+    std::size_t pick_instance(random_source& random) const
+    {
+        while (true) {
+            const std::size_t index = uniform(random, members.size());
+            if (weights.empty() || uniform_real(random) * 2 < weights.at(index)) {
+                return index;
+            }
+        }
+    }
+
     // Plays requests at `per_s` to random instances for `length`; returns the part that was admitted.
     double play(random_source& random, double per_s, duration length)
     {
@@ -80,7 +100,7 @@
                 next_division += exchange_period;
             }
             ++asked;
-            rate_shares& member = members.at(uniform(random, members.size()));
+            rate_shares& member = members.at(pick_instance(random));
             if (take_token(member, "gullfoss", now) == duration{}) {
                 ++admitted;
                 ran.push_back(now);
@@ -123,6 +143,22 @@
     }
 }
 
+TEST_CASE("rates: callers that move between many instances do not add to the rate")
+{
+    // A part of the rate moved to an instance with a full bucket, from one that had used its part up.
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        random_source random{seed};
+        rate_fleet fleet({.instances = 88, .rate = 604, .burst = 604});
+        fleet.play(random, 250, 6s);
+        for (int moves = 0; moves < 8; ++moves) {
+            fleet.move_callers(random);
+            fleet.play(random, moves % 4 == 3 ? 450 : 1300, 2s);
+        }
+        CHECK(static_cast<double>(fleet.most_in_window()) <= fleet.allowed());
+    }
+}
+
 TEST_CASE("rates: instances that are cut off and the rest together stay within the rate")
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
--- a/packages/edge/src/control_fleet.cpp
+++ b/packages/edge/src/control_fleet.cpp
@@ -27,6 +27,11 @@
 constexpr duration answer_limit = std::chrono::milliseconds(1200);
 // Pause between attempts to register.
 constexpr duration registration_retry = std::chrono::seconds(2);
+// Pace at which a speaker reads the registered instances again while it does not hear a failure domain.
+constexpr duration registered_period = std::chrono::seconds(10);
+// Ticks for which a speaker introduces itself to the same instance of a failure domain that it does not hear:
+// time to connect and to be answered by a summary.
+constexpr std::uint64_t introduced_ticks = 15;
 
 bool knows_better(const control& state, const steering::record_positions& positions)
 {
@@ -79,13 +84,29 @@
     }
 }
 
+// Keeps contacts of other failure domains, so that a speaker can introduce itself there.
+void learn_registered(control& state, const steering::instance_contact& contact)
+{
+    const auto known = std::ranges::find(state.registered, contact.name, &steering::instance_contact::name);
+    if (known == state.registered.end()) {
+        state.registered.push_back(contact);
+    } else {
+        *known = contact;
+    }
+}
+
+// Tells a newcomer whom of its own failure domain and which speakers of the others this instance hears.
 introduction introduce(const control& state, std::string_view domain, time_point now)
 {
     introduction made;
+    made.contacts.push_back(steering::contact_of(state.settings.identity));
     for (const steering::domain_summary* each : steering::live_summaries(state.fleet, now)) {
-        if (each->failure_domain == domain) {
-            made.contacts = each->members;
+        std::vector<steering::instance_contact> told =
+            each->failure_domain == domain ? each->members : steering::speakers_of(*each);
+        if (each->failure_domain != domain) {
+            told.resize(std::min(told.size(), speaker_links));
         }
+        made.contacts.insert(made.contacts.end(), told.begin(), told.end());
     }
     return made;
 }
@@ -211,9 +232,12 @@
     } else if (auto* summary = std::get_if<steering::domain_summary>(&message)) {
         take_summary(state, std::move(*summary));
     } else {
-        for (const steering::instance_contact& each : std::get<introduction>(message).contacts) {
+        const introduction& made = std::get<introduction>(message);
+        for (const steering::instance_contact& each : made.contacts) {
             learn_contact(state, each);
+            learn_registered(state, each);
         }
+        steering::note_registered(state.fleet, made.contacts, boot_now());
     }
     return std::nullopt;
 }
@@ -286,6 +310,16 @@
     return addresses;
 }
 
+std::vector<std::string> unheard_addresses(const control& state, time_point now)
+{
+    std::vector<std::string> addresses;
+    for (const steering::instance_contact& each : steering::contacts_of_unheard(
+             state.fleet, state.registered, state.tick_count / introduced_ticks, now)) {
+        addresses.push_back(each.peer_address);
+    }
+    return addresses;
+}
+
 void tell_domains(control& state, const steering::instance_status& status, bool urgent, time_point now)
 {
     const bool near_due = urgent || state.tick_count % near_summary_ticks == 0;
@@ -306,6 +340,9 @@
             send_to_all(*state.peers, speaker_addresses(domain.summary), is_near ? near : far);
         }
     }
+    if (far_due) {
+        send_to_all(*state.peers, unheard_addresses(state, now), far);
+    }
 }
 
 void adjust_links(control& state, time_point now)
@@ -320,6 +357,9 @@
                 wanted.insert(std::move(address));
             }
         }
+        for (std::string& address : unheard_addresses(state, now)) {
+            wanted.insert(std::move(address));
+        }
     }
     if (needs_seeds(state, now)) {
         for (std::string& address : seed_links(state)) {
@@ -338,32 +378,72 @@
 
 } // namespace
 
+namespace {
+
+// Returns whether the store answered.
+asio::awaitable<bool> read_registered(control& state)
+{
+    const auto registered = co_await platform::read_contacts(state.writer);
+    if (!registered) {
+        co_return false;
+    }
+    for (const steering::instance_contact& each : *registered) {
+        learn_contact(state, each);
+        learn_registered(state, each);
+    }
+    steering::note_registered(state.fleet, *registered, boot_now());
+    co_return true;
+}
+
+bool misses_domain(const control& state, time_point now)
+{
+    return std::ranges::any_of(state.settings.failure_domains, [&](const auto& each) {
+        const auto known = state.fleet.domains.find(each.first);
+        return !is_own_domain(state, each.first) &&
+               (known == state.fleet.domains.end() || !steering::is_alive(state.fleet, known->second, now));
+    });
+}
+
+asio::awaitable<void> wait(control& state, duration length)
+{
+    asio::steady_timer pause(state.context);
+    boost::system::error_code ignored; // A cancelled pause only ends sooner.
+    pause.expires_after(length);
+    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+} // namespace
+
 asio::awaitable<void> register_instance(control& state)
 {
     const steering::instance_contact contact = steering::contact_of(state.settings.identity);
-    asio::steady_timer pause(state.context);
-    bool done = false;
-    while (!done) {
-        const auto registered = co_await platform::read_contacts(state.writer);
-        if (registered) {
-            state.registered = *registered;
-            for (const steering::instance_contact& each : state.registered) {
-                learn_contact(state, each);
-            }
-            done = std::ranges::any_of(state.registered, [&](const auto& each) {
-                return each.name == contact.name && each.peer_address == contact.peer_address;
-            });
-        }
-        if (registered && !done) {
+    // Each writes before it reads, so of two instances that start together at least one finds the other.
+    bool written = false;
+    bool read = false;
+    while (!read) {
+        if (!written) {
             const platform::store_answer answer = co_await platform::write_contact(state.writer, contact);
-            done = answer.status == platform::store_status::ok;
+            written = answer.status == platform::store_status::ok;
+        }
+        if (written) {
+            read = co_await read_registered(state);
+        }
+        if (!read) {
+            co_await wait(state, registration_retry);
         }
-        boost::system::error_code ignored; // A cancelled pause only ends sooner.
-        pause.expires_after(registration_retry);
-        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
     log_event(log_severity::info, "instance_registered",
               {{"registered", std::to_string(state.registered.size())}});
+    while (true) {
+        co_await wait(state, registered_period);
+        const time_point now = boot_now();
+        if (misses_domain(state, now) && steering::is_speaker(state.fleet, now)) {
+            const bool answered = co_await read_registered(state);
+            log_event_limited(state.log, log_severity::info, "registered_read_again",
+                              {{"answered", answered ? "true" : "false"},
+                               {"registered", std::to_string(state.registered.size())}});
+        }
+    }
 }
 
 void tell_peers(control& state, bool urgent, time_point now)
@@ -391,6 +471,18 @@
                                {"leaving", member.status.leaving ? "true" : "false"}});
         }
     }
+    for (auto& [name, domain] : state.fleet.domains) {
+        const bool alive = steering::is_alive(state.fleet, domain, now);
+        if (alive != domain.was_alive) {
+            domain.was_alive = alive;
+            log_event_limited(
+                state.log, log_severity::info, alive ? "domain_heard" : "domain_away",
+                {{"domain", name},
+                 {"speaker", domain.summary.speaker},
+                 {"instances", std::to_string(domain.summary.members.size())},
+                 {"customers_with_demand", std::to_string(domain.summary.load.demands.size())}});
+        }
+    }
     for (const std::string& address : steering::forget_silent(state.fleet, now)) {
         state.contacts.erase(address);
     }
