Rates: an instance that becomes keeper of a small rate begins with what its predecessor probably left

When the keeper died its successor's bucket grew to the failure domain's part of the burst and was still "full", and again when the restarted keeper got the rate back: with most instances killed at once, each customer at its limit got its burst twice more. Ruled out: starting with nothing, since customers well inside their rate would be refused then. Change: the part of the bucket that is new to the instance is filled by what the failure domain's demand leaves of the rate.

--- a/packages/decision/include/camphorknot/steering/rate_shares.hpp
+++ b/packages/decision/include/camphorknot/steering/rate_shares.hpp
@@ -28,6 +28,7 @@
     double burst = 0;         ///< Requests over the fleet.
     double share = 0;         ///< Part of both that this instance may use.
     double slack = 0;         ///< Requests beyond its part of the burst that may be saved up here.
+    double members = 0;       ///< Instances that use this bucket; several at a keeper, none at the others.
     bool share_is_new = true; ///< No share was set yet.
     double tokens = 0;
     time_point refilled{};
--- a/packages/decision/src/steering/rate_shares.cpp
+++ b/packages/decision/src/steering/rate_shares.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace camphorknot::steering {
 namespace {
@@ -82,22 +83,30 @@
 struct bucket_part {
     double share = 0;
     double members = 1; ///< Instances that use the bucket.
+    double demand = 0;  ///< Theirs, in requests a second.
 };
 
+// How full the bucket of an earlier keeper probably was: what it gave away cannot be asked any more.
+double fill_of_predecessor(const rate_bucket& bucket, double demand)
+{
+    const double rate = bucket.rate * bucket.share;
+    return rate > 0 ? std::clamp(1 - demand / rate, 0.0, 1.0) : 1;
+}
+
 bucket_part part_of(rate_bucket& bucket, const std::string& name, const fleet_demand& fleet, time_point now)
 {
     const double own = told_demand(bucket, now);
     const double others = value_or_zero(fleet.others, name);
     const auto keeper = fleet.keepers.find(name);
     if (keeper == fleet.keepers.end()) {
-        return {share_of(fleet, 1, own, others), 1};
+        return {share_of(fleet, 1, own, others), 1, own};
     }
     if (!keeper->second.empty()) {
-        return {0, 0};
+        return {0, 0, 0};
     }
     const double near = value_or_zero(fleet.domain_others, name);
     const double members = static_cast<double>(fleet.domain_live);
-    return {share_of(fleet, members, own + near, std::max(0.0, others - near)), members};
+    return {share_of(fleet, members, own + near, std::max(0.0, others - near)), members, own + near};
 }
 
 // What a deployment tolerates in requests covers those that come in clumps at one instance; what it tolerates
@@ -145,11 +154,17 @@
         const bucket_part part = part_of(bucket, name, fleet, now);
         bucket.share = part.share;
         bucket.slack = slack_of(bounds, part.members, static_cast<double>(fleet.possible));
+        const double depth = depth_of(bucket);
+        const bool is_first = std::exchange(bucket.share_is_new, false);
+        const double members = std::exchange(bucket.members, part.members);
+        if (is_first) {
+            bucket.tokens = depth * first_fill;
+            continue;
+        }
         // What was saved up moves with the share, so that the sum over the fleet stays the same.
-        const bool is_first = bucket.share_is_new;
-        bucket.share_is_new = false;
-        bucket.tokens = is_first ? depth_of(bucket) * first_fill
-                                 : std::min(depth_of(bucket), bucket.tokens * depth_of(bucket) / before);
+        const double fill = std::min(1.0, bucket.tokens / before);
+        const double kept = part.members > members ? members / part.members : 1;
+        bucket.tokens = depth * (kept * fill + (1 - kept) * fill_of_predecessor(bucket, part.demand));
     }
 }
 
--- a/packages/decision/tests/steering_rates_test.cpp
+++ b/packages/decision/tests/steering_rates_test.cpp
@@ -244,6 +244,39 @@
     CHECK(given >= 8);
 }
 
+TEST_CASE("rates: an instance that becomes keeper under high demand does not add a burst to the rate")
+{
+    // Most instances were killed at once; each failure domain's next keeper began with a full bucket, and the
+    // restarted one did so again when the rate came back to it.
+    configuration source;
+    source.customers.push_back({.name = "gullfoss", .rate = 20, .burst = 60});
+    rate_shares second;
+    set_limits(second, source, start);
+    fleet_demand fleet{.live = 20, .domain_live = 10, .possible = 20};
+    const operating_bounds bounds{.rate_overage = 0.1, .rate_slack = 20};
+    fleet.keepers["gullfoss"] = "10.0.0.9:70";
+    fleet.others["gullfoss"] = 120;
+    fleet.domain_others["gullfoss"] = 60;
+    for (time_point now = start; now < start + 10s; now += 200ms) {
+        set_fleet_demand(second, fleet, bounds, now);
+    }
+    fleet.keepers["gullfoss"] = "";
+    set_fleet_demand(second, fleet, bounds, start + 10s);
+    CHECK(second.buckets.at("gullfoss").tokens < 2);
+    SECTION("with little demand, the bucket is as full as its predecessor's")
+    {
+        rate_shares calm;
+        set_limits(calm, source, start);
+        fleet.keepers["gullfoss"] = "10.0.0.9:70";
+        fleet.others["gullfoss"] = 2;
+        fleet.domain_others["gullfoss"] = 1;
+        set_fleet_demand(calm, fleet, bounds, start);
+        fleet.keepers["gullfoss"] = "";
+        set_fleet_demand(calm, fleet, bounds, start + 1s);
+        CHECK(calm.buckets.at("gullfoss").tokens > 20);
+    }
+}
+
 TEST_CASE("rates: the instances of a failure domain name the same keeper")
 {
     std::set<std::string> keepers;
