Soak: names of the platform stand with its stand-ins; recovery is checked for the limited customer too; own addresses

Cause: the soak spelled the platform's headers, rows and settings. Its recovery check had been narrowed to the customer without a limit by reasoning, without a trace. Change: requests, configuration and bounds are written by platform/tests/standins. After the last fault both customers must get 95%: the limited one of its rate, and may be refused beyond it for the rate only. The network is chosen by the process's id.

--- a/tools/soak/callers.cpp
+++ b/tools/soak/callers.cpp
@@ -17,6 +17,7 @@
 
 namespace {
 
+constexpr auto caller_deadline = std::chrono::milliseconds(2500);
 constexpr auto answer_limit = std::chrono::seconds(3);
 constexpr auto connect_limit = std::chrono::seconds(1);
 constexpr int requests_on_connection = 12;
@@ -27,21 +28,17 @@
     beast::flat_buffer buffer;
 };
 
-http::request<http::string_body> make_request(const told_answer& asked, std::uint64_t object)
+standins::caller_request make_request(const told_answer& asked, std::uint64_t object)
 {
-    http::request<http::string_body> request(asked.unsafe ? http::verb::post : http::verb::get,
-                                             asked.unsafe ? "/seal/1" : "/find/1", 11);
-    request.set(http::field::host, "s.example");
-    request.set("Attempt-Id", asked.attempt);
-    request.set("Deadline-Ms", "2500");
-    request.set("Affinity-Key", std::to_string(object));
-    request.set(http::field::authorization,
-                "Token " + (asked.key_number == 0 ? "free-key" : key_of(asked.key_number)));
-    if (asked.unsafe) {
-        request.body() = std::string(500, 'b');
-    }
-    request.prepare_payload();
-    return request;
+    standins::caller_question question;
+    question.attempt = asked.attempt;
+    question.host = caller_host;
+    question.path = asked.unsafe ? "/seal/1" : "/find/1";
+    question.key = asked.key_number == 0 ? "free-key" : key_of(asked.key_number);
+    question.object = std::to_string(object);
+    question.body = asked.unsafe ? std::string(500, 'b') : std::string();
+    question.deadline = caller_deadline;
+    return standins::make_caller_request(question);
 }
 
 asio::awaitable<bool> ask(std::shared_ptr<connection> over, told_answer& asked, std::uint64_t object)
@@ -61,8 +58,7 @@
         co_return false;
     }
     asked.status = response.result_int();
-    asked.signed_rightly =
-        response["Server-Signature"] == "s-" + asked.attempt && response.body().starts_with("answer of i-");
+    asked.signed_rightly = standins::is_signed_answer(response, asked.attempt);
     co_return response.keep_alive();
 }
 
--- a/tools/soak/fleet.cpp
+++ b/tools/soak/fleet.cpp
@@ -13,6 +13,10 @@
 
 constexpr std::array<const char*, 3> regions = {"luzon", "visayas", "mindanao"};
 
+// The rules that the soak's checks assume.
+constexpr std::array<std::pair<std::string_view, double>, 4> operator_bounds = {
+    {{"grace_s", 6}, {"quota_slack", 20}, {"quota_overage", 0.1}, {"retry_budget_extra", 60}}};
+
 std::string region_of(std::size_t index)
 {
     return regions.at(index % regions.size());
@@ -29,7 +33,7 @@
          << "store: { address: \"" << fleet.network << ".1:" << port_of(*instance.store_link) << "\" }\n"
          << "failure_domains: { luzon-a: luzon, visayas-a: visayas, mindanao-a: mindanao }\n"
          << "seeds: [\"" << fleet.network << ".101:7303\", \"" << fleet.network << ".102:7303\"]\n"
-         << "bounds: [\"grace_s=6\", \"quota_slack=20\", \"quota_overage=0.1\", \"retry_budget_extra=60\"]\n";
+         << "bounds: " << standins::bounds_setting(operator_bounds) << "\n";
 }
 
 } // namespace
@@ -41,31 +45,23 @@
 
 void write_configuration(deployment& fleet)
 {
-    std::array<char, 16> version{};
-    std::snprintf(version.data(), version.size(), "%08x", static_cast<unsigned>(fleet.configuration_version));
-    const std::string route =
-        R"("timeout_s":1.5,"target_latency_s":0.6,"priority":1,"service":"desk","max_attempts":2}})";
-    standins::put_row(
-        *fleet.store, "op", "config",
-        std::string(R"({"config_version":")") + version.data() +
-            R"(","resources":[{"resource_kind":"routes","metadata":{"name":"find"},"spec":{"host":"s.example","prefix":"/find/","route_type":"safe",)" +
-            route +
-            R"(,{"resource_kind":"routes","metadata":{"name":"seal"},"spec":{"host":"s.example","prefix":"/seal/","route_type":"unsafe",)" +
-            route +
-            R"(,{"resource_kind":"services","metadata":{"name":"desk"},"spec":{"health_path":"/health","max_conns":100}},)" +
-            R"({"resource_kind":"tenants","metadata":{"name":"free"},"spec":{"api_keys":["free-key"]}},)" +
-            R"({"resource_kind":"tenants","metadata":{"name":"limited"},"spec":{"api_keys":[")" +
-            key_of(fleet.key_number) + R"("],"rate_per_s":)" + std::to_string(customer_rate) +
-            R"(,"burst":)" + std::to_string(customer_burst) +
-            R"(}},{"resource_kind":"limits","metadata":{},"spec":{}}]})");
+    const std::array routes = {
+        standins::stated_route{"find", caller_host, "/find/", "safe", "desk", 1.5, 0.6},
+        standins::stated_route{"seal", caller_host, "/seal/", "unsafe", "desk", 1.5, 0.6}};
+    const std::array customers = {
+        standins::stated_customer{"free", "free-key"},
+        standins::stated_customer{"limited", key_of(fleet.key_number), customer_rate, customer_burst}};
+    standins::put_configuration(
+        *fleet.store,
+        standins::configuration_row(static_cast<unsigned>(fleet.configuration_version), routes, customers));
 }
 
 void register_server(deployment& fleet, const server_process& server, const std::string& state)
 {
     const std::size_t index = std::stoul(server.id.substr(2));
     const std::string address = fleet.network + ".2:" + std::to_string(port_of(*server.link));
-    standins::put_row(*fleet.store, "servers", server.id,
-                      standins::server_row("desk", address, region_of(index) + "-a", "v1", state, 0, 100));
+    standins::put_server(*fleet.store, server.id,
+                         standins::server_row("desk", address, region_of(index) + "-a", "v1", state, 0, 100));
 }
 
 void add_server(deployment& fleet)
--- a/tools/soak/fleet.hpp
+++ b/tools/soak/fleet.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "proxy.hpp"
+#include "standins/caller_standin.hpp"
 #include "standins/server_standin.hpp"
 #include "standins/store_standin.hpp"
 
@@ -51,7 +52,8 @@
 inline constexpr double customer_rate = 60;
 inline constexpr double customer_burst = 60;
 
-constexpr std::uint16_t front_port = 7300;
+inline constexpr std::uint16_t front_port = 7300;
+inline constexpr const char* caller_host = "s.example";
 
 std::string key_of(int number);
 
--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <gflags/gflags.h>
 #include <set>
+#include <unistd.h>
 
 #include "callers.hpp"
 
@@ -31,6 +32,8 @@
 constexpr auto apply_bound = 3s;
 constexpr auto contact_time = 4s;
 constexpr auto recovery_time = 8s;
+// Part of the requests that is served again after the last fault.
+constexpr double least_recovered = 0.95;
 constexpr std::size_t caller_count = 24;
 constexpr std::size_t server_count = 6;
 
@@ -188,8 +191,8 @@
         break;
     default: {
         ++run.faults["malformed row"];
-        standins::put_row(*run.fleet.store, "servers", "i-odd-" + std::to_string(run.random() % 5),
-                          "{\"service\":7}");
+        standins::put_server(*run.fleet.store, "i-odd-" + std::to_string(run.random() % 5),
+                             "{\"service\":7}");
         break;
     }
     }
@@ -340,19 +343,39 @@
     }
 }
 
+// After the last fault, both customers are served again: the limited one up to its rate, beyond which only a
+// refusal for the rate is allowed.
 void check_recovery(run_state& run, clock::time_point quiet_since)
 {
-    std::size_t asked = 0;
-    std::size_t served = 0;
+    struct tally {
+        std::size_t asked = 0;
+        std::size_t served = 0;
+        std::size_t over_rate = 0;
+    };
+    std::array<tally, 2> counted;
+    const auto from = quiet_since + recovery_time;
+    auto to = from;
     for (const told_answer& each : run.callers.answers) {
-        // The limited customer asks for more than its rate.
-        if (each.sent > quiet_since + recovery_time && each.key_number == 0) {
-            ++asked;
-            served += each.status / 100 == 2 ? 1 : 0;
+        if (each.sent > from) {
+            tally& customer = counted.at(each.key_number == 0 ? 0 : 1);
+            ++customer.asked;
+            customer.served += each.status / 100 == 2 ? 1 : 0;
+            customer.over_rate += each.status == 429 ? 1 : 0;
+            to = std::max(to, each.sent);
         }
     }
-    if (asked < 20 || served * 100 < asked * 95) {
-        report(run, "recovery", std::to_string(served) + " of " + std::to_string(asked) + " served");
+    const double owed_to_limited = customer_rate * seconds(to - from).count();
+    for (const tally& each : counted) {
+        const bool limited = &each == &counted.back();
+        const auto asked = static_cast<double>(each.asked);
+        const double owed = limited ? std::min(asked, owed_to_limited) : asked;
+        const std::size_t lost = each.asked - each.served - (limited ? each.over_rate : 0);
+        if (each.asked < 20 || static_cast<double>(each.served) < owed * least_recovered ||
+            static_cast<double>(lost) > asked * (1 - least_recovered)) {
+            report(run, limited ? "recovery, limited customer" : "recovery",
+                   std::to_string(each.served) + " of " + std::to_string(each.asked) + " served, " +
+                       std::to_string(each.over_rate) + " over the rate");
+        }
     }
 }
 
@@ -360,8 +383,11 @@
 {
     boost::asio::io_context context;
     run_state run(context, seed);
-    run.fleet.network = "127." + std::to_string(10 + seed % 200) + "." + std::to_string(seed / 200 % 250);
-    run.fleet.directory = FLAGS_directory + "/" + std::to_string(seed);
+    // Addresses of this process's own, so that runs of one seed can be played side by side.
+    const auto process = static_cast<std::uint64_t>(getpid());
+    run.fleet.network =
+        "127." + std::to_string(10 + process % 200) + "." + std::to_string(process / 200 % 250);
+    run.fleet.directory = FLAGS_directory + "/" + std::to_string(seed) + "-" + std::to_string(process);
     run.fleet.program = FLAGS_program;
     std::filesystem::remove_all(run.fleet.directory);
     std::filesystem::create_directories(run.fleet.directory);
