--- a/packages/client/src/log_commands.cpp
+++ b/packages/client/src/log_commands.cpp
@@ -1,5 +1,7 @@
 // Commands that read collected log files and need no instance.
+#include <algorithm>
 #include <fstream>
+#include <functional>
 
 #include "camphorknot/client/explain.hpp"
 #include "command_parts.hpp"
@@ -50,7 +52,9 @@
     for (const log_line& each : found.lines) {
         std::string inputs;
         for (const auto& [name, value] : each.fields) {
-            inputs += name == "severity" || name == "request" ? "" : name + "=" + value + " ";
+            if (name != "severity" && name != "request") {
+                inputs.append(name).append("=").append(value).append(" ");
+            }
         }
         rows.push_back({each.time, each.instance, each.event, inputs});
     }
