platform: downloads may be sent again, unknown kinds of requests are logged

Cause: the adapter knew only `safe` as repeatable, so a download whose answer was lost ended with 502, and a kind that it did not know was treated as at most once without a word. Change: `download` is idempotent; `unsafe` and `upload` are at most once; any other kind stays at most once and is logged once a configuration (request_kind_unknown). Test: 'edge relay: a download is sent again after a lost answer' failed before (one run instead of two).

--- a/packages/decision/include/camphorknot/steering/model.hpp
+++ b/packages/decision/include/camphorknot/steering/model.hpp
@@ -76,6 +76,7 @@
     std::vector<service_policy> services{};
     std::vector<customer> customers{};
     caller_limits limits;
+    std::set<std::string> unknown_request_kinds{}; ///< Of its routes; their requests are sent at most once.
 };
 
 /// One incarnation of a server process, as it registered itself.
--- a/packages/edge/src/control_records.cpp
+++ b/packages/edge/src/control_records.cpp
@@ -75,6 +75,10 @@
               {{"version", std::to_string(state.configuration->version)},
                {"routes", std::to_string(state.configuration->routes.size())},
                {"customers", std::to_string(state.configuration->customers.size())}});
+    for (const std::string& kind : state.configuration->unknown_request_kinds) {
+        log_event(log_severity::warning, "request_kind_unknown",
+                  {{"kind", kind}, {"treated_as", "at_most_once"}});
+    }
 }
 
 void apply_evacuation(control_state& state, const std::string& domain, bool removed)
--- a/packages/edge/tests/edge_fixture.hpp
+++ b/packages/edge/tests/edge_fixture.hpp
@@ -85,6 +85,10 @@
         "route_type":"safe","timeout_s":1.0,"target_latency_s":0.6,"priority":2,"service":"desk","max_attempts":2}},
       {"resource_kind":"routes","metadata":{"name":"seal"},"spec":{"host":"seals.example","prefix":"/seal/",
         "route_type":"unsafe","timeout_s":1.0,"target_latency_s":0.8,"priority":1,"service":"desk","max_attempts":2}},
+      {"resource_kind":"routes","metadata":{"name":"manual"},"spec":{"host":"seals.example","prefix":"/manual/",
+        "route_type":"download","timeout_s":1.0,"target_latency_s":0.8,"priority":2,"service":"desk","max_attempts":2}},
+      {"resource_kind":"routes","metadata":{"name":"odd"},"spec":{"host":"seals.example","prefix":"/odd/",
+        "route_type":"teleport","timeout_s":1.0,"target_latency_s":0.8,"priority":2,"service":"desk","max_attempts":2}},
       {"resource_kind":"services","metadata":{"name":"desk"},"spec":{"health_path":"/health","max_conns":100}},)" +
            customers + R"({"resource_kind":"limits","metadata":{},"spec":{"max_header_bytes":4096,
         "max_body_bytes":1000000,"header_timeout_s":3,"idle_timeout_s":15}}]})";
--- a/packages/edge/tests/edge_relay_test.cpp
+++ b/packages/edge/tests/edge_relay_test.cpp
@@ -51,6 +51,23 @@
     CHECK(fixture.runs_of("a1") == 1);
 }
 
+TEST_CASE("edge relay: a download is sent again after a lost answer, a request of an unknown kind is not")
+{
+    edge_fixture fixture(3);
+    for (auto& server : fixture.servers) {
+        standins::set_script(*server, {server_behavior::reset_after_read});
+    }
+    // With the first behavior used up at two of the three servers, the second send is answered or is the
+    // last.
+    fixture.ask(make_request(http::verb::get, "/manual/1", "a1"));
+    CHECK(fixture.runs_of("a1") == 2);
+    for (auto& server : fixture.servers) {
+        standins::set_script(*server, {server_behavior::reset_after_read});
+    }
+    CHECK(fixture.ask(make_request(http::verb::get, "/odd/1", "a2")).result_int() == 502);
+    CHECK(fixture.runs_of("a2") == 1);
+}
+
 TEST_CASE("edge relay: a refusal of a server that does not say it has not run becomes no promise")
 {
     edge_fixture fixture(2);
