steering: queue waits are not learned as service time, full targets are not suspended

Change: the load that a target reports with an answer divides the measured time by its queue (1 + waiting / slots); a rejection by a target that reports a full house is no failure; when more than half of a service's targets are suspended for rejecting with free slots, these suspensions are ignored, since the rest could not carry the load.

--- a/packages/decision/include/camphorknot/steering/target_pool.hpp
+++ b/packages/decision/include/camphorknot/steering/target_pool.hpp
@@ -43,6 +43,9 @@
     duration max_suspension = std::chrono::seconds(4);
     unsigned failures_to_suspend = 3;      ///< Consecutive failures.
     double failure_share_to_suspend = 0.5; ///< Of target_state::failure_share.
+    /// If more than this fraction of the targets is suspended for shedding, these suspensions are ignored:
+    /// the remaining targets could not carry the load.
+    double max_shedding_fraction = 0.5;
 };
 
 /// Measured service times of a service, smoothed.
@@ -71,8 +74,9 @@
     unsigned consecutive_failures = 0;
     double failure_share = 0; ///< Smoothed fraction of failures among its recent answers.
     time_point suspended_until{};
-    duration suspension{}; ///< Length of the last suspension; zero after a success.
-    bool on_trial = false; ///< A single request tests whether a suspended target has recovered.
+    duration suspension{};               ///< Length of the last suspension; zero after a success.
+    bool on_trial = false;               ///< A single request tests whether a suspended target has recovered.
+    bool suspended_for_shedding = false; ///< The last failure before the suspension was a shed request.
     time_point cold_until{};
     bool is_warmup_owner = false; ///< Only this instance may send to the target while it is cold.
     cold_allowance allowance;
@@ -157,20 +161,26 @@
     success,
     failure,     ///< The target answered with an error, or aborted its answer.
     unreachable, ///< No connection, or the request timed out.
-    shed,        ///< The target reported that it did not execute the request.
+    shed,        ///< The target reported that it did not execute the request. A failure unless it was full.
     replaced,    ///< Another server uses the address now.
     abandoned,   ///< The instance aborted the request on behalf of the caller.
 };
 
+/// Load that a target reported with an answer, without the answered request.
+struct target_load {
+    double running = 0;
+    double waiting = 0; ///< In the target's queue.
+};
+
 /// Removes the request from those in flight and updates the estimates with its outcome.
 /// @param chosen result of choose_target for this request.
 /// @param taken time from send to answer.
+/// @param load as reported with the answer, if it was.
 void on_request_ended(target_pool& pool, target_state& state, target_outcome outcome, const placement& chosen,
-                      duration taken, time_point now);
+                      duration taken, time_point now, const std::optional<target_load>& load = std::nullopt);
 
 /// Stores the load that a target reported with an answer received at @p now.
-/// @param requests running or queued at the target, without the answered one.
-void on_target_load_reported(target_state& state, double requests, time_point now);
+void on_target_load_reported(target_state& state, const target_load& load, time_point now);
 
 /// Stores the sum of the other instances' requests at the target, unless the target has reported its load
 /// more recently.
--- a/packages/decision/src/steering/target_pool.cpp
+++ b/packages/decision/src/steering/target_pool.cpp
@@ -48,14 +48,25 @@
     return state.is_warmup_owner && refilled_tokens(state.allowance, now) >= 1;
 }
 
-bool is_suspended(const target_state& state, const placement_request& request, time_point now)
+bool is_suspended(const target_state& state, const placement_request& request, time_point now,
+                  bool ignore_shedding)
 {
-    if (state.suspension == duration{}) {
+    if (state.suspension == duration{} || (ignore_shedding && state.suspended_for_shedding)) {
         return false;
     }
     return now < state.suspended_until || state.on_trial || request.avoid_suspended_trial;
 }
 
+// Whether so many targets are suspended for shedding that the others could not carry the load.
+bool is_shedding_widespread(const target_pool& pool, const std::vector<target_state*>& members)
+{
+    const auto shedding = std::ranges::count_if(members, [](const target_state* state) {
+        return state->suspension != duration{} && state->suspended_for_shedding;
+    });
+    return static_cast<double>(shedding) >
+           pool.tuning.max_shedding_fraction * static_cast<double>(members.size());
+}
+
 bool is_eligible(const target_pool& pool, const target_state& state, const placement_request& request)
 {
     if (state.entry.draining || pool.evacuated.contains(state.entry.failure_domain)) {
@@ -131,8 +142,9 @@
 {
     std::vector<ranked_target> ranked;
     ranked.reserve(members.size());
+    const bool ignore_shedding = is_shedding_widespread(pool, members);
     for (target_state* state : members) {
-        if (is_eligible(pool, *state, request) && !is_suspended(*state, request, now)) {
+        if (is_eligible(pool, *state, request) && !is_suspended(*state, request, now, ignore_shedding)) {
             ranked.push_back({state, mix_hash(hash_name(state->entry.id), request.object)});
         }
     }
@@ -233,16 +245,32 @@
     }
 }
 
+// Service time without the wait in the target's queue, which is no measure of its speed. Learned as service
+// time, the wait would hide how much faster warm targets are when the load is highest.
+duration estimate_served(const target_state& state, const placement& chosen, duration taken,
+                         const std::optional<target_load>& load)
+{
+    if (load) {
+        return scaled(taken, 1 / (1 + load->waiting / state.entry.slots));
+    }
+    return std::max(taken - chosen.expected_wait, taken / 2);
+}
+
+// Whether the target rejected a request for lack of capacity, which is no fault.
+bool is_full(const target_state& state, const std::optional<target_load>& load)
+{
+    return load && (load->waiting > 0 || load->running >= state.entry.slots);
+}
+
 void on_success(target_pool& pool, target_state& state, const placement& chosen, duration taken,
-                time_point now)
+                time_point now, const std::optional<target_load>& load)
 {
     state.consecutive_failures = 0;
     state.failure_share -= state.failure_share * failure_weight;
     state.suspension = duration{};
     service_profile& profile = pool.profiles[state.entry.service];
     duration& expected = chosen.expected_warm ? profile.warm : profile.miss;
-    // Time in the target's queue is no measure of its speed.
-    const duration served = std::max(taken - chosen.expected_wait, taken / 2);
+    const duration served = estimate_served(state, chosen, taken, load);
     const double ratio = static_cast<double>(served.count()) / static_cast<double>(expected.count());
     state.slowness += (std::clamp(ratio, min_slowness, max_slowness) - state.slowness) * slowness_weight;
     expected += scaled(served - expected, profile_weight);
@@ -379,21 +407,28 @@
 }
 
 void on_request_ended(target_pool& pool, target_state& state, target_outcome outcome, const placement& chosen,
-                      duration taken, time_point now)
+                      duration taken, time_point now, const std::optional<target_load>& load)
 {
     if (state.own_in_flight > 0) {
         --state.own_in_flight;
     }
     switch (outcome) {
     case target_outcome::success:
-        on_success(pool, state, chosen, taken, now);
+        on_success(pool, state, chosen, taken, now, load);
         break;
     case target_outcome::failure:
     case target_outcome::unreachable:
-    case target_outcome::shed:
+        state.suspended_for_shedding = false;
         on_failure(pool, state, now);
         break;
+    case target_outcome::shed:
+        if (!is_full(state, load)) {
+            state.suspended_for_shedding = true;
+            on_failure(pool, state, now);
+        }
+        break;
     case target_outcome::replaced:
+        state.suspended_for_shedding = false;
         state.suspension = pool.tuning.max_suspension;
         state.suspended_until = now + state.suspension;
         break;
@@ -401,11 +436,14 @@
         break;
     }
     state.on_trial = false;
+    if (load) {
+        on_target_load_reported(state, *load, now);
+    }
 }
 
-void on_target_load_reported(target_state& state, double requests, time_point now)
+void on_target_load_reported(target_state& state, const target_load& load, time_point now)
 {
-    state.peer_in_flight = std::max(0.0, requests - state.own_in_flight);
+    state.peer_in_flight = std::max(0.0, load.running + load.waiting - state.own_in_flight);
     state.load_reported_at = now;
 }
 
--- a/packages/decision/tests/steering_placement_test.cpp
+++ b/packages/decision/tests/steering_placement_test.cpp
@@ -189,6 +189,63 @@
     CHECK(fixture.choose(9, start + 800ms).chosen->entry.id == id);
 }
 
+TEST_CASE("placement: the wait in the targets' queues is not learned as service time")
+{
+    // Overload: each target runs 3 requests and queues 9, so an answer takes four times its service time.
+    placement_fixture fixture;
+    for (int count = 0; count < 400; ++count) {
+        const bool warm = count % 2 == 0;
+        target_state& state = fixture.pool.targets.at("i-" + std::to_string(1 + count % 8));
+        placement sent;
+        sent.chosen = &state;
+        sent.expected_warm = warm;
+        on_request_sent(fixture.pool, state, 1, start);
+        on_request_ended(fixture.pool, state, target_outcome::success, sent, 4 * (warm ? 250ms : 800ms),
+                         start, target_load{3, 9});
+    }
+    CHECK(fixture.pool.profiles["catalogue"].warm < 300ms);
+    CHECK(fixture.pool.profiles["catalogue"].miss < 960ms);
+    for (const auto& [id, state] : fixture.pool.targets) {
+        CHECK(state.slowness < 1.2);
+    }
+}
+
+TEST_CASE("placement: a full target that rejects requests is not suspended")
+{
+    placement_fixture fixture;
+    const placement first = fixture.choose(9);
+    for (int count = 0; count < 6; ++count) {
+        on_request_sent(fixture.pool, *first.chosen, 1, start);
+        on_request_ended(fixture.pool, *first.chosen, target_outcome::shed, first, 1ms, start,
+                         target_load{3, 9});
+    }
+    CHECK(first.chosen->suspension == duration{});
+    on_target_load_reported(*first.chosen, {0, 0}, start);
+    CHECK(fixture.choose(9).chosen == first.chosen);
+}
+
+TEST_CASE("placement: targets that reject requests with free slots are suspended, but not most of them")
+{
+    placement_fixture fixture;
+    const auto shed_by = [&](target_state& state) {
+        placement sent;
+        sent.chosen = &state;
+        for (int count = 0; count < 3; ++count) {
+            on_request_sent(fixture.pool, state, 1, start);
+            on_request_ended(fixture.pool, state, target_outcome::shed, sent, 1ms, start, target_load{1, 0});
+            on_target_load_reported(state, {0, 0}, start);
+        }
+    };
+    const placement first = fixture.choose(9);
+    shed_by(*first.chosen);
+    CHECK(fixture.choose(9).chosen != first.chosen);
+    for (auto& [id, state] : fixture.pool.targets) {
+        shed_by(state);
+    }
+    // All of them reject some requests; without the others they still serve the rest.
+    CHECK(fixture.choose(9).chosen == first.chosen);
+}
+
 TEST_CASE("placement: a restart under the same id resets the state of the target")
 {
     placement_fixture fixture;
@@ -218,7 +275,7 @@
 {
     placement_fixture fixture;
     target_state& state = fixture.pool.targets.at("i-1");
-    on_target_load_reported(state, 5, start);
+    on_target_load_reported(state, {3, 2}, start);
     on_peer_load_reported(state, 1, start + 100ms);
     CHECK(state.peer_in_flight == 5);
     on_peer_load_reported(state, 1, start + 900ms);
--- a/packages/edge/src/relay_send.cpp
+++ b/packages/edge/src/relay_send.cpp
@@ -139,11 +139,12 @@
     const time_point now = boot_now();
     const duration service_time = now - start - result.connect_time;
     const steering::target_outcome outcome = classify_outcome(result);
-    steering::on_request_ended(state.pool, chosen, outcome, placement, service_time, now);
+    std::optional<steering::target_load> load;
     if (result.outcome == exchange_outcome::answered && result.metadata.load) {
-        const double reported_load = result.metadata.load->running + result.metadata.load->waiting;
-        steering::on_target_load_reported(chosen, reported_load, now);
+        load = {static_cast<double>(result.metadata.load->running),
+                static_cast<double>(result.metadata.load->waiting)};
     }
+    steering::on_request_ended(state.pool, chosen, outcome, placement, service_time, now, load);
     if (outcome == steering::target_outcome::success) {
         observe(placement.expected_warm ? *state.counters.warm_time : *state.counters.miss_time,
                 service_time);
