steering: the directory names the strongest instances that carry the load

Cause: callers were spread over all live instances of a failure domain with equal probability. Peak rates decay over 15 s, so the set changes seldom. Warm-up owners and owners of small rates are chosen among the strongest as well, since the requests arrive there. Messages of earlier versions, which lack the new fields, are still read.

--- a/packages/decision/include/camphorknot/steering.hpp
+++ b/packages/decision/include/camphorknot/steering.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "camphorknot/steering/fleet.hpp"
+#include "camphorknot/steering/front_selection.hpp"
 #include "camphorknot/steering/model.hpp"
 #include "camphorknot/steering/rate_shares.hpp"
 #include "camphorknot/steering/record_replica.hpp"
--- a/packages/decision/include/camphorknot/steering/fleet.hpp
+++ b/packages/decision/include/camphorknot/steering/fleet.hpp
@@ -53,7 +53,8 @@
     std::string region{};
     std::string front_address{};
     std::string peer_address{};
-    std::uint32_t link_mbps = 0; ///< As in instance_identity.
+    std::uint32_t link_mbps = 0;      ///< As in instance_identity.
+    std::uint32_t cpu_millicores = 0; ///< As in instance_identity.
 };
 
 /// Load and rollout progress of one instance, or summed over the instances of a failure domain.
@@ -62,6 +63,7 @@
     std::vector<target_in_flight> in_flight{};
     std::vector<rollout_progress> rollouts{};
     std::vector<version_counts> counts{};
+    float requests_per_s = 0; ///< Received from callers.
 };
 
 /// Replication position of each collection, indexed by `collection`.
@@ -105,6 +107,12 @@
     duration isolated_member_retention = std::chrono::seconds(60);
 };
 
+/// Highest rate of the last seconds: rises at once, and decays exponentially.
+struct peak_rate {
+    double per_s = 0;
+    time_point updated_at{};
+};
+
 /// Membership as seen by this instance. Used only by the control thread.
 struct fleet {
     bool own_reads_store = true; ///< False while the store is unreachable from this instance.
@@ -124,8 +132,17 @@
     std::map<std::string, domain> domains{}; ///< The other failure domains, by name.
     std::map<std::string, time_point>
         last_seen{}; ///< Last time that another instance was received or listed, by name.
+    /// Request rates by failure domain; each the highest of the last seconds, so that the selection of front
+    /// instances changes seldom.
+    std::map<std::string, peak_rate> request_rates{};
 };
 
+/// Updates a rate with the current one.
+void update_peak_rate(peak_rate& rate, double per_s, time_point now);
+
+/// @return the rate at @p now.
+double peak_rate_at(const peak_rate& rate, time_point now);
+
 /// Stores the status of an instance of the own failure domain.
 /// @return false if it is not newer than the stored one.
 bool on_status_received(fleet& peers, instance_status status, time_point now);
@@ -178,16 +195,23 @@
 /// @p name; 0 if the task is assigned to this instance.
 std::size_t assignment_rank(const fleet& peers, std::string_view name, time_point now);
 
-/// @return hashed names of the other live instances, sorted, so that two results can be compared.
-std::vector<std::uint64_t> live_candidates(const fleet& peers, time_point now);
+/// Instances to which tasks of the request path are assigned: the live ones with the strongest processors,
+/// since callers are sent to these first.
+struct task_candidates {
+    bool has_own = true;                 ///< This instance is one of them.
+    std::vector<std::uint64_t> others{}; ///< Hashed names, sorted.
+    bool operator==(const task_candidates&) const = default;
+};
+
+task_candidates live_candidates(const fleet& peers, time_point now);
 
-/// Like assignment_rank(...) == 0, but for many tasks with one list of candidates.
+/// Rendezvous hashing of many tasks over one list of candidates.
 /// @param candidates from live_candidates.
 /// @return whether the task @p name is assigned to this instance.
-bool is_assigned(const fleet& peers, std::span<const std::uint64_t> candidates, std::string_view name);
+bool is_assigned(const fleet& peers, const task_candidates& candidates, std::string_view name);
 
-/// @return peer address of the rate owner of @p customer in the own failure domain; empty if it is this
-/// instance.
+/// @return peer address of the rate owner of @p customer in the own failure domain, one of the live instances
+/// with the strongest processors; empty if it is this instance.
 std::string find_rate_owner(const fleet& peers, std::string_view customer, time_point now);
 
 /// @return the contact of @p identity.
@@ -203,7 +227,11 @@
 /// @return the sum of the reports of the other instances in the own failure domain and of the other domains.
 load_report sum_of_peer_reports(const fleet& peers, time_point now);
 
-/// @return front addresses for callers in @p domain: its live instances, else those in @p region, else all.
+/// @return the requests per second of the callers of the own failure domain.
+double own_domain_requests_per_s(const fleet& peers, const load_report& own, time_point now);
+
+/// @return front addresses for callers in @p domain, of its live instances, else of those in @p region, else
+/// of all; among these as selected by select_fronts.
 /// @param own_is_ready whether this instance is included.
 std::vector<std::string> front_addresses_for(const fleet& peers, std::string_view region,
                                              std::string_view domain, bool own_is_ready, time_point now);
--- a/packages/decision/include/camphorknot/steering/model.hpp
+++ b/packages/decision/include/camphorknot/steering/model.hpp
@@ -142,6 +142,7 @@
     std::string peer_address{};    ///< "ip:port" for other instances.
     std::uint64_t incarnation = 0; ///< Increases with each start of the process.
     std::uint32_t link_mbps = 0;   ///< Link capacity in Mbit/s; the highest is preferred as domain delegate.
+    std::uint32_t cpu_millicores = 0; ///< Processor capacity; 1000 is one core of speed 1, 0 is unknown.
 };
 
 /// Region of each failure domain.
--- a/packages/decision/src/steering/fleet.cpp
+++ b/packages/decision/src/steering/fleet.cpp
@@ -1,13 +1,18 @@
 #include "camphorknot/steering/fleet.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
+#include "camphorknot/steering/front_selection.hpp"
+
 namespace camphorknot::steering {
 namespace {
 
 constexpr std::string_view delegate_task = "speaker";
 constexpr std::string_view reader_task = "reader";
+// Time constant of the decay of peak rates: a wave of requests lasts longer than a burst.
+constexpr double peak_rate_period_s = 15;
 
 std::uint64_t task_weight(std::string_view candidate, std::string_view task)
 {
@@ -59,6 +64,7 @@
     std::map<std::string, target_in_flight> in_flight;
     std::map<std::pair<std::string, std::uint64_t>, rollout_progress> rollouts;
     std::map<std::tuple<std::string, std::string, std::string>, version_counts> counts;
+    float requests_per_s = 0;
 };
 
 void add_rollout(rollout_progress& sum, const rollout_progress& progress)
@@ -71,6 +77,7 @@
 
 void add_report(report_sums& sums, const load_report& report)
 {
+    sums.requests_per_s += report.requests_per_s;
     add_all(
         sums.demands, std::span(report.demands), [](const auto& demand) { return demand.customer; },
         [](auto& sum, const auto& demand) { sum.per_s += demand.per_s; });
@@ -93,7 +100,7 @@
 load_report to_report(const report_sums& sums)
 {
     return {values_of(sums.demands), values_of(sums.in_flight), values_of(sums.rollouts),
-            values_of(sums.counts)};
+            values_of(sums.counts), sums.requests_per_s};
 }
 
 void on_instance_seen(fleet& peers, const std::string& name, time_point now)
@@ -101,18 +108,18 @@
     peers.last_seen[name] = now;
 }
 
-// Calls `visit` with the name of each other live instance.
-void for_each_live_name(const fleet& peers, time_point now, auto visit)
+// Calls `visit` with the name and the processor capacity of each other live instance.
+void for_each_live(const fleet& peers, time_point now, auto visit)
 {
     for (const auto& [name, member] : peers.members) {
         if (is_alive(peers, member, now) && !member.status.leaving) {
-            visit(name);
+            visit(name, member.status.identity.cpu_millicores);
         }
     }
     for (const auto& [name, domain] : peers.domains) {
         if (is_alive(peers, domain, now)) {
             for (const instance_contact& contact : domain.summary.members) {
-                visit(contact.name);
+                visit(contact.name, contact.cpu_millicores);
             }
         }
     }
@@ -137,8 +144,8 @@
 
 instance_contact contact_of(const instance_identity& identity)
 {
-    return {identity.name,          identity.failure_domain, identity.region,
-            identity.front_address, identity.peer_address,   identity.link_mbps};
+    return {identity.name,         identity.failure_domain, identity.region,        identity.front_address,
+            identity.peer_address, identity.link_mbps,      identity.cpu_millicores};
 }
 
 bool on_status_received(fleet& peers, instance_status status, time_point now)
@@ -166,6 +173,7 @@
     for (const instance_contact& contact : summary.members) {
         on_instance_seen(peers, contact.name, now);
     }
+    update_peak_rate(peers.request_rates[summary.failure_domain], summary.load.requests_per_s, now);
     fleet::domain& domain = peers.domains[summary.failure_domain];
     domain.summary = std::move(summary);
     domain.last_received = now;
@@ -255,7 +263,7 @@
 std::size_t live_instances(const fleet& peers, time_point now)
 {
     std::size_t count = 1;
-    for_each_live_name(peers, now, [&](const std::string& /*name*/) { ++count; });
+    for_each_live(peers, now, [&](const std::string& /*name*/, std::uint32_t /*cpu*/) { ++count; });
     return count;
 }
 
@@ -292,32 +300,46 @@
 {
     const std::uint64_t own = task_weight(peers.own.name, name);
     std::size_t preceding = 0;
-    for_each_live_name(
-        peers, now, [&](const std::string& other) { preceding += task_weight(other, name) > own ? 1 : 0; });
+    for_each_live(peers, now, [&](const std::string& other, std::uint32_t /*cpu*/) {
+        preceding += task_weight(other, name) > own ? 1 : 0;
+    });
     return preceding;
 }
 
-std::vector<std::uint64_t> live_candidates(const fleet& peers, time_point now)
+task_candidates live_candidates(const fleet& peers, time_point now)
 {
-    std::vector<std::uint64_t> candidates;
-    for_each_live_name(peers, now, [&](const std::string& name) { candidates.push_back(hash_name(name)); });
-    std::ranges::sort(candidates);
+    std::uint32_t strongest = peers.own.cpu_millicores;
+    for_each_live(peers, now, [&](const std::string& /*name*/, std::uint32_t cpu_millicores) {
+        strongest = std::max(strongest, cpu_millicores);
+    });
+    task_candidates candidates;
+    candidates.has_own = peers.own.cpu_millicores == strongest;
+    for_each_live(peers, now, [&](const std::string& name, std::uint32_t cpu_millicores) {
+        if (cpu_millicores == strongest) {
+            candidates.others.push_back(hash_name(name));
+        }
+    });
+    std::ranges::sort(candidates.others);
     return candidates;
 }
 
-bool is_assigned(const fleet& peers, std::span<const std::uint64_t> candidates, std::string_view name)
+bool is_assigned(const fleet& peers, const task_candidates& candidates, std::string_view name)
 {
     const std::uint64_t task = hash_name(name);
     const std::uint64_t own = mix_hash(hash_name(peers.own.name), task);
-    return std::ranges::none_of(candidates, [&](std::uint64_t other) { return mix_hash(other, task) > own; });
+    return candidates.has_own && std::ranges::none_of(candidates.others, [&](std::uint64_t other) {
+               return mix_hash(other, task) > own;
+           });
 }
 
 std::string find_rate_owner(const fleet& peers, std::string_view customer, time_point now)
 {
-    std::uint64_t highest = task_weight(peers.own.name, customer);
+    using rate_owner_rank = std::pair<std::uint32_t, std::uint64_t>;
+    rate_owner_rank highest = {peers.own.cpu_millicores, task_weight(peers.own.name, customer)};
     std::string owner;
     for (const instance_status* status : live_statuses(peers, now)) {
-        const std::uint64_t weight = task_weight(status->identity.name, customer);
+        const rate_owner_rank weight = {status->identity.cpu_millicores,
+                                        task_weight(status->identity.name, customer)};
         if (weight > highest) {
             highest = weight;
             owner = status->identity.peer_address;
@@ -370,26 +392,55 @@
     return to_report(sums);
 }
 
+void update_peak_rate(peak_rate& rate, double per_s, time_point now)
+{
+    rate.per_s = std::max(peak_rate_at(rate, now), per_s);
+    rate.updated_at = now;
+}
+
+double peak_rate_at(const peak_rate& rate, time_point now)
+{
+    const double elapsed_s = std::chrono::duration<double>(now - rate.updated_at).count();
+    return rate.per_s * std::exp(-std::max(0.0, elapsed_s) / peak_rate_period_s);
+}
+
+double own_domain_requests_per_s(const fleet& peers, const load_report& own, time_point now)
+{
+    double sum = own.requests_per_s;
+    for (const instance_status* status : live_statuses(peers, now)) {
+        sum += status->load.requests_per_s;
+    }
+    return sum;
+}
+
 std::vector<std::string> front_addresses_for(const fleet& peers, std::string_view region,
                                              std::string_view domain, bool own_is_ready, time_point now)
 {
-    const std::vector<instance_contact> contacts = live_contacts(peers, own_is_ready, now);
-    const auto addresses_if = [&](auto matches) {
-        std::vector<std::string> addresses;
-        for (const instance_contact& contact : contacts) {
-            if (matches(contact)) {
-                addresses.push_back(contact.front_address);
-            }
-        }
-        return addresses;
+    const std::vector<instance_contact> live = live_contacts(peers, own_is_ready, now);
+    const auto contacts_if = [&](auto matches) {
+        std::vector<instance_contact> contacts;
+        std::ranges::copy_if(live, std::back_inserter(contacts), matches);
+        return contacts;
     };
-    auto addresses =
-        addresses_if([&](const instance_contact& contact) { return contact.failure_domain == domain; });
-    if (addresses.empty()) {
-        addresses = addresses_if([&](const instance_contact& contact) { return contact.region == region; });
+    auto contacts =
+        contacts_if([&](const instance_contact& contact) { return contact.failure_domain == domain; });
+    if (contacts.empty()) {
+        contacts = contacts_if([&](const instance_contact& contact) { return contact.region == region; });
+    }
+    if (contacts.empty()) {
+        contacts = live;
+    }
+    std::set<std::string_view> domains = {domain};
+    for (const instance_contact& contact : contacts) {
+        domains.insert(contact.failure_domain);
+    }
+    double requests_per_s = 0;
+    for (const auto& [name, rate] : peers.request_rates) {
+        requests_per_s += domains.contains(name) ? peak_rate_at(rate, now) : 0;
     }
-    if (addresses.empty()) {
-        addresses = addresses_if([](const instance_contact&) { return true; });
+    std::vector<std::string> addresses;
+    for (instance_contact& contact : select_fronts(std::move(contacts), requests_per_s, {})) {
+        addresses.push_back(std::move(contact.front_address));
     }
     return addresses;
 }
--- a/packages/edge/src/control.cpp
+++ b/packages/edge/src/control.cpp
@@ -26,6 +26,8 @@
     finish_target_removals(state, now);
     step_rollouts(state, now);
     steering::trim_removals(state.replica, max_kept_removals);
+    steering::update_peak_rate(state.fleet.request_rates[state.settings.identity.failure_domain],
+                               steering::own_domain_requests_per_s(state.fleet, state.report.load, now), now);
     send_peer_updates(state, false, now);
     publish_view(state, now);
 }
@@ -59,7 +61,7 @@
     if (!is_settled(state) || !steering::sees_half_of_fleet(state.fleet, now)) {
         return {};
     }
-    std::vector<std::uint64_t> candidates = steering::live_candidates(state.fleet, now);
+    steering::task_candidates candidates = steering::live_candidates(state.fleet, now);
     warmup_assignments& cached = state.warmup_cache;
     if (cached.targets != state.published_targets || cached.candidates != candidates) {
         cached.targets = state.published_targets;
--- a/packages/edge/src/control.hpp
+++ b/packages/edge/src/control.hpp
@@ -26,7 +26,7 @@
 
 /// Targets whose warm-up is assigned to this instance. Cached with the inputs from which it was computed.
 struct warmup_assignments {
-    std::vector<std::uint64_t> candidates; ///< Live instances.
+    steering::task_candidates candidates;
     std::shared_ptr<const std::vector<steering::target>> targets;
     std::set<std::string> assigned_targets;
 };
--- a/packages/edge/src/peer_codec.cpp
+++ b/packages/edge/src/peer_codec.cpp
@@ -11,7 +11,7 @@
 auto peer_fields(const_or_mutable<instance_identity> auto& value)
 {
     return std::tie(value.name, value.ip, value.failure_domain, value.region, value.front_address,
-                    value.peer_address, value.incarnation, value.link_mbps);
+                    value.peer_address, value.incarnation, value.link_mbps, value.cpu_millicores);
 }
 auto peer_fields(const_or_mutable<record_position> auto& value)
 {
@@ -45,11 +45,11 @@
 auto peer_fields(const_or_mutable<instance_contact> auto& value)
 {
     return std::tie(value.name, value.failure_domain, value.region, value.front_address, value.peer_address,
-                    value.link_mbps);
+                    value.link_mbps, value.cpu_millicores);
 }
 auto peer_fields(const_or_mutable<load_report> auto& value)
 {
-    return std::tie(value.demands, value.in_flight, value.rollouts, value.counts);
+    return std::tie(value.demands, value.in_flight, value.rollouts, value.counts, value.requests_per_s);
 }
 auto peer_fields(const_or_mutable<instance_status> auto& value)
 {
@@ -62,6 +62,16 @@
                     value.reads_store, value.positions, value.load, value.members);
 }
 
+// Number of fields that a message must have; the later ones are missing in messages of earlier versions.
+template <typename T>
+constexpr std::size_t required_fields = std::tuple_size_v<decltype(peer_fields(std::declval<T&>()))>;
+template <>
+constexpr std::size_t required_fields<instance_identity> = 8;
+template <>
+constexpr std::size_t required_fields<instance_contact> = 6;
+template <>
+constexpr std::size_t required_fields<load_report> = 4;
+
 template <typename T>
 concept peer_struct = requires(T& value)
 {
@@ -96,11 +106,17 @@
         {
             auto fields = camphorknot::steering::peer_fields(value);
             // Ignores additional fields of a newer version.
-            if (from.type != type::ARRAY || from.via.array.size < std::tuple_size_v<decltype(fields)>) {
+            if (from.type != type::ARRAY || from.via.array.size < camphorknot::steering::required_fields<T>) {
                 throw type_error();
             }
             const msgpack::object* next = from.via.array.ptr;
-            std::apply([&next](auto&... field) { ((next++)->convert(field), ...); }, fields);
+            const msgpack::object* end = next + from.via.array.size;
+            const auto convert_next = [&](auto& field) {
+                if (next != end) {
+                    (next++)->convert(field);
+                }
+            };
+            std::apply([&](auto&... field) { (convert_next(field), ...); }, fields);
             return from;
         }
     };
--- a/packages/edge/src/settings.cpp
+++ b/packages/edge/src/settings.cpp
@@ -57,7 +57,7 @@
     return parse_address(required_text(map, name), name, line_of(map[name]));
 }
 
-std::uint32_t optional_number(const YAML::Node& map, const std::string& name, std::uint32_t fallback)
+double optional_number(const YAML::Node& map, const std::string& name, double fallback)
 {
     if (!map[name] || map[name].IsNull()) {
         return fallback;
@@ -70,7 +70,7 @@
         throw settings_exception{
             {settings_fault::invalid_format, name, "a number that is not negative", line_of(map[name])}};
     }
-    return static_cast<std::uint32_t>(value);
+    return value;
 }
 
 std::vector<std::string> optional_texts(const YAML::Node& map, const std::string& name)
@@ -98,7 +98,10 @@
     settings.identity.ip = required_text(instance, "ip");
     settings.identity.failure_domain = required_text(instance, "failure_domain");
     settings.identity.region = required_text(instance, "region");
-    settings.identity.link_mbps = optional_number(instance, "link_mbps", 0);
+    settings.identity.link_mbps = static_cast<std::uint32_t>(optional_number(instance, "link_mbps", 0));
+    const double cores =
+        optional_number(instance, "cpu_share", 0) * optional_number(instance, "cpu_speed", 1);
+    settings.identity.cpu_millicores = static_cast<std::uint32_t>(std::min(cores * 1000, 1e9));
     const YAML::Node listen = required_child(root, "listen");
     settings.front = required_address(listen, "front");
     settings.readiness = required_address(listen, "readiness");
--- a/packages/edge/src/traffic.cpp
+++ b/packages/edge/src/traffic.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <cmath>
 
 #include "sockets.hpp"
 
@@ -22,6 +23,21 @@
 // A stop lasts at least this long, so that callers first receive other addresses from the directory.
 constexpr duration min_stop_time = std::chrono::milliseconds(3000);
 
+// Smoothed rate of the requests received from callers.
+float update_request_rate(traffic_state& state, time_point now)
+{
+    constexpr double period_s = 1; // Time constant.
+    const double elapsed_s = std::chrono::duration<double>(now - state.request_rate_updated_at).count();
+    const std::uint64_t received = state.counters.requests->load(std::memory_order_relaxed);
+    if (elapsed_s > 0) {
+        const double rate = static_cast<double>(received - state.request_rate_counted) / elapsed_s;
+        state.request_rate += (rate - state.request_rate) * (1 - std::exp(-elapsed_s / period_s));
+        state.request_rate_counted = received;
+        state.request_rate_updated_at = now;
+    }
+    return static_cast<float>(state.request_rate);
+}
+
 traffic_report make_report(traffic_state& state, time_point now)
 {
     traffic_report report;
@@ -43,6 +59,7 @@
         }
     }
     report.running_requests = state.running_requests;
+    report.load.requests_per_s = update_request_rate(state, now);
     return report;
 }
 
--- a/packages/edge/src/traffic.hpp
+++ b/packages/edge/src/traffic.hpp
@@ -83,8 +83,11 @@
     random_source random;
     std::uint64_t next_request_id = 1;
     std::size_t open_sessions = 0;
-    std::size_t running_requests = 0; ///< Requests without a final answer.
-    std::size_t held_body_bytes = 0;  ///< Total size of their bodies.
+    std::size_t running_requests = 0;       ///< Requests without a final answer.
+    std::size_t held_body_bytes = 0;        ///< Total size of their bodies.
+    double request_rate = 0;                ///< Requests per second from callers, smoothed.
+    std::uint64_t request_rate_counted = 0; ///< Requests up to the last update of the rate.
+    time_point request_rate_updated_at{};
     bool stopping = false;
     time_point stop_started_at{};
     log_limiter log;
