edge: contacts, seed messages and store reads no longer grow with the fleet's square

Cause, by reading and arithmetic for 295 instances in nine failure domains of 33: each status carried the contacts of the whole failure domain (32 of 110 bytes) to 32 peers five times a second, 165 such messages a second to decode at each instance; for the first 25 ticks each instance sent it to its seeds and to one instance of each other failure domain as well, 295 x 25 x 11 messages of 4.5 kB, and each was answered with 50 contacts: about 0.3 GB, mostly between regions, the whole of what was priced there.

--- a/packages/decision/include/camphorknot/steering/fleet.hpp
+++ b/packages/decision/include/camphorknot/steering/fleet.hpp
@@ -214,6 +214,11 @@
 /// with the strongest processors; empty if it is this instance.
 std::string find_rate_owner(const fleet& peers, std::string_view customer, time_point now);
 
+/// Delay after the start before an instance without records reads the store itself. Designed for a fleet that
+/// starts all at once: the strongest instances, to which callers are sent first, read at once, and the others
+/// mostly receive the records from them, so that the calls to the store do not grow with the fleet.
+duration startup_read_delay(const instance_identity& own);
+
 /// @return the contact of @p identity.
 instance_contact contact_of(const instance_identity& identity);
 
--- a/packages/decision/tests/steering_front_selection_test.cpp
+++ b/packages/decision/tests/steering_front_selection_test.cpp
@@ -133,3 +133,23 @@
         CHECK(owners.begin()->starts_with("strong"));
     }
 }
+
+TEST_CASE("front selection: when a fleet starts at once, its strong instances read the store first")
+{
+    duration latest_strong{};
+    duration earliest_weak = 10s;
+    std::set<duration> delays;
+    for (int number = 0; number < 30; ++number) {
+        const std::string name = "edge-" + std::to_string(number);
+        latest_strong = std::max(latest_strong, startup_read_delay(make_status(name, 500).identity));
+        const duration weak = startup_read_delay(make_status(name, 100).identity);
+        earliest_weak = std::min(earliest_weak, weak);
+        delays.insert(weak);
+    }
+    // Two status periods of 200 ms and a connection lie between, in which the weak ones can get the records.
+    CHECK(latest_strong <= 300ms);
+    CHECK(earliest_weak >= latest_strong + 500ms);
+    CHECK(delays.size() == 30);
+    CHECK(startup_read_delay(make_status("unknown", 0).identity) == duration{});
+    CHECK(startup_read_delay(make_status("tiny", 1).identity) == 2s);
+}
--- a/packages/edge/src/control.cpp
+++ b/packages/edge/src/control.cpp
@@ -137,6 +137,7 @@
 std::string start_control(control_state& state)
 {
     state.fleet.own = state.settings.identity;
+    state.started_at = boot_now();
     platform::store_settings store;
     boost::system::error_code error;
     store.address = {asio::ip::make_address(state.settings.store.ip, error), state.settings.store.port};
--- a/packages/edge/src/control.hpp
+++ b/packages/edge/src/control.hpp
@@ -70,6 +70,7 @@
     traffic_report report;              ///< The latest one of the traffic thread.
     std::uint64_t status_sequence = 0;
     std::uint64_t tick_count = 0;
+    time_point started_at{};
     /// When records were last requested from a peer; zero after its answer.
     time_point records_requested_at{};
     std::map<std::string, steering::instance_contact> own_domain_contacts; ///< By peer address.
--- a/packages/edge/src/control_discovery.cpp
+++ b/packages/edge/src/control_discovery.cpp
@@ -12,8 +12,12 @@
 
 // Summaries go to this many members of another failure domain: its delegate and the delegate's successors.
 constexpr std::size_t summary_receivers_per_domain = 2;
-// Number of ticks after the start in which an instance sends its status to its seeds.
+// Number of ticks after the start in which an instance holds links to its seeds, and the ticks in which it
+// sends them its status. Each status is answered with contacts, which in a large fleet are many.
 constexpr std::uint64_t seed_contact_ticks = 25;
+constexpr std::array<std::uint64_t, 3> seed_message_ticks = {3, 8, 20};
+// Period in ticks of the statuses to the seeds while no other instance is received.
+constexpr std::uint64_t alone_seed_message_period = 3;
 // Delay between attempts to register.
 constexpr duration registration_retry_period = std::chrono::seconds(2);
 // Period at which a delegate reads the registered instances again while it receives nothing from a failure
@@ -158,7 +162,14 @@
     return make_contact_announcement(state, status.identity.failure_domain, now);
 }
 
-std::vector<std::string> seed_addresses(const control_state& state)
+bool is_seed_message_due(const control_state& state, time_point now)
+{
+    const bool is_alone = steering::live_instances(state.fleet, now) == 1;
+    return std::ranges::find(seed_message_ticks, state.tick_count) != seed_message_ticks.end() ||
+           (is_alone && state.tick_count % alone_seed_message_period == 0);
+}
+
+std::vector<std::string> seed_addresses(const control_state& state, time_point now)
 {
     std::vector<std::string> addresses;
     for (const std::string& address : state.settings.seeds) {
@@ -166,8 +177,10 @@
             addresses.push_back(address);
         }
     }
-    const std::vector<std::string> registered = registered_addresses(state);
-    addresses.insert(addresses.end(), registered.begin(), registered.end());
+    if (steering::live_instances(state.fleet, now) == 1) {
+        const std::vector<std::string> registered = registered_addresses(state);
+        addresses.insert(addresses.end(), registered.begin(), registered.end());
+    }
     return addresses;
 }
 
--- a/packages/edge/src/control_discovery.hpp
+++ b/packages/edge/src/control_discovery.hpp
@@ -23,8 +23,12 @@
 /// @return whether this instance has just started, or receives messages from no other instance.
 bool needs_seeds(const control_state& state, time_point now);
 
-/// @return the peer addresses of the seeds and of one registered instance of each other failure domain.
-std::vector<std::string> seed_addresses(const control_state& state);
+/// @return whether this instance sends its status to its seeds in this tick.
+bool is_seed_message_due(const control_state& state, time_point now);
+
+/// @return the peer addresses of the seeds; without a message from another instance, also of one registered
+/// instance of each other failure domain.
+std::vector<std::string> seed_addresses(const control_state& state, time_point now);
 
 /// @return the peer addresses of the current delegate of another failure domain and of its successor.
 std::vector<std::string> delegate_addresses(const steering::domain_summary& summary);
--- a/packages/edge/src/control_fleet.cpp
+++ b/packages/edge/src/control_fleet.cpp
@@ -13,6 +13,14 @@
 // Period in ticks of the summaries for failure domains of the same region, and for those of other regions.
 constexpr std::uint64_t same_region_summary_ticks = 2;
 constexpr std::uint64_t cross_region_summary_ticks = 4;
+// Period in ticks of the status of an instance without requests: three statuses within the status timeout.
+constexpr std::uint64_t idle_status_ticks = 2;
+constexpr float max_idle_requests_per_s = 0.5F;
+// Number of ticks after the start in which a fleet that starts at once finds itself.
+constexpr std::uint64_t startup_ticks = 25;
+// Periods in ticks of the statuses that list the contacts of the failure domain, during the start and later.
+constexpr std::uint64_t startup_contact_exchange_ticks = 3;
+constexpr std::uint64_t contact_exchange_ticks = 10;
 // Summaries to other regions leave out the requests in flight if these are at more targets than this.
 constexpr std::size_t max_cross_region_in_flight = 64;
 // Records are requested from a peer whose copy is newer by at least this.
@@ -165,6 +173,21 @@
     return std::nullopt;
 }
 
+// Contacts are most of a status in a large failure domain, and seldom new.
+bool are_contacts_due(const control_state& state)
+{
+    const std::uint64_t period =
+        state.tick_count < startup_ticks ? startup_contact_exchange_ticks : contact_exchange_ticks;
+    return state.tick_count % period == 0;
+}
+
+// Whether this instance has nothing to report that others act on.
+bool is_idle(const control_state& state)
+{
+    return !state.stopping && state.tick_count >= startup_ticks && state.report.running_requests == 0 &&
+           state.report.load.requests_per_s < max_idle_requests_per_s;
+}
+
 steering::instance_status make_status(control_state& state, time_point now)
 {
     steering::instance_status status;
@@ -177,6 +200,9 @@
     }
     status.load = state.report.load;
     status.load.rollouts = collect_rollout_progress(state, now);
+    if (!are_contacts_due(state)) {
+        return status;
+    }
     for (const auto& [address, contact] : state.own_domain_contacts) {
         const auto member = state.fleet.members.find(contact.name);
         if (member != state.fleet.members.end() && steering::is_alive(state.fleet, member->second, now)) {
@@ -230,7 +256,7 @@
         }
     }
     if (needs_seeds(state, now)) {
-        for (std::string& address : seed_addresses(state)) {
+        for (std::string& address : seed_addresses(state, now)) {
             wanted.insert(std::move(address));
         }
     }
@@ -249,12 +275,14 @@
 void send_peer_updates(control_state& state, bool urgent, time_point now)
 {
     const steering::instance_status status = make_status(state, now);
-    const std::string frame = encode_frame(status);
-    send_to_all(*state.peers, own_domain_addresses(state), frame);
-    if (needs_seeds(state, now)) {
-        steering::instance_status without_load = status;
-        without_load.load = {};
-        send_to_all(*state.peers, seed_addresses(state), encode_frame(without_load));
+    if (urgent || !is_idle(state) || state.tick_count % idle_status_ticks == 0) {
+        send_to_all(*state.peers, own_domain_addresses(state), encode_frame(status));
+    }
+    if (!urgent && is_seed_message_due(state, now)) {
+        steering::instance_status contact_only = status;
+        contact_only.load = {};
+        contact_only.contacts.clear();
+        send_to_all(*state.peers, seed_addresses(state, now), encode_frame(contact_only));
     }
     send_domain_summaries(state, status, urgent, now);
 }
--- a/packages/edge/src/control_records.cpp
+++ b/packages/edge/src/control_records.cpp
@@ -210,6 +210,11 @@
         .store(reachable ? 1 : 0, std::memory_order_relaxed);
 }
 
+bool has_records(const control_state& state)
+{
+    return state.collection_freshness.at(static_cast<std::size_t>(steering::collection::orders)).as_of_s >= 0;
+}
+
 // Returns the number of changed records; empty if the store did not answer.
 asio::awaitable<std::optional<std::size_t>> read_from_store(control_state& state, steering::collection group)
 {
@@ -234,10 +239,13 @@
         state.collection_freshness.at(static_cast<std::size_t>(steering::collection::orders));
     const freshness& targets =
         state.collection_freshness.at(static_cast<std::size_t>(steering::collection::targets));
+    if (orders.as_of_s < 0) {
+        return now - state.started_at >= steering::startup_read_delay(state.settings.identity);
+    }
     // Delegates go first, so that the instances of a failure domain do not all read the store at once.
     const duration max_age =
         steering::is_domain_delegate(state.fleet, now) ? stale_after : stale_after + non_delegate_delay;
-    return orders.as_of_s < 0 || now - std::min(orders.advanced_at, targets.advanced_at) > max_age;
+    return now - std::min(orders.advanced_at, targets.advanced_at) > max_age;
 }
 
 std::size_t apply_record_update(control_state& state, const steering::record_update& update,
@@ -309,8 +317,14 @@
     time_point last_read_at{};
     while (true) {
         const time_point now = boot_now();
-        const bool retry_due = !state.fleet.own_reads_store && now - last_read_at >= store_retry_period;
-        if (steering::is_store_reader(state.fleet, now) || records_are_stale(state, now) || retry_due) {
+        // While the store is down all records are stale; the delegates notice its return for the others.
+        const bool retry_due = now - last_read_at >= store_retry_period &&
+                               (!state.fleet.own_reads_store || records_are_stale(state, now));
+        const bool is_reader = steering::is_store_reader(state.fleet, now) &&
+                               (has_records(state) || records_are_stale(state, now));
+        const bool is_delegate_in_need =
+            records_are_stale(state, now) && steering::is_domain_delegate(state.fleet, now);
+        if (is_reader || is_delegate_in_need || retry_due) {
             last_read_at = now;
             co_await read_collections(state, states_read_at);
         }
