edge: a connection to an earlier incarnation of a target is not used again

Cause: idle connections were kept by target id. A target that starts again under its id, at another address or on the same one, left connections to its earlier incarnation in use; found when full targets were no longer suspended, which had hidden it: 'edge explain: a target that sheds' sent 500 requests to an address that was no longer registered. Change: a connection belongs to the address and start time of the incarnation to which it was opened. Test: that test fails without this change (1 of 505 assertions) and passes with it.

--- a/packages/edge/src/target_exchange.cpp
+++ b/packages/edge/src/target_exchange.cpp
@@ -37,6 +37,13 @@
     connection.stream.socket().close(ignored);
 }
 
+// A target that started again under its id knows nothing of the connections to its earlier incarnation.
+bool leads_to(const target_connection& connection, const steering::target& target)
+{
+    return connection.ip == target.ip && connection.port == target.port &&
+           connection.born_ms == target.born_ms;
+}
+
 bool is_usable(target_connection& connection, bool at_most_once, time_point now)
 {
     const bool before_limit = now < connection.idle_until;
@@ -44,10 +51,10 @@
     return before_limit && recently_used && peek(connection.stream.socket()) == socket_state::quiet;
 }
 
-target_connection_handle take_idle_connection(connection_pool& pool, const std::string& target,
+target_connection_handle take_idle_connection(connection_pool& pool, const steering::target& target,
                                               bool at_most_once)
 {
-    const auto found = pool.idle.find(target);
+    const auto found = pool.idle.find(target.id);
     if (found == pool.idle.end()) {
         return nullptr;
     }
@@ -55,6 +62,11 @@
     const time_point now = boot_now();
     while (!idle.empty()) {
         target_connection_handle last = idle.back();
+        if (!leads_to(*last, target)) {
+            idle.pop_back();
+            close_connection(*last);
+            continue;
+        }
         if (is_usable(*last, at_most_once, now)) {
             idle.pop_back();
             return last;
@@ -98,6 +110,9 @@
         co_return nullptr;
     }
     set_tcp_options(opened->stream.socket(), unacknowledged_limit);
+    opened->ip = target.ip;
+    opened->port = target.port;
+    opened->born_ms = target.born_ms;
     co_return opened;
 }
 
@@ -182,7 +197,7 @@
 {
     exchange_result result;
     const time_point start = boot_now();
-    target_connection_handle connection = take_idle_connection(pool, target.id, at_most_once);
+    target_connection_handle connection = take_idle_connection(pool, target, at_most_once);
     if (connection == nullptr) {
         connection = co_await open_connection(target, limit);
         result.new_connection = true;
--- a/packages/edge/src/target_exchange.hpp
+++ b/packages/edge/src/target_exchange.hpp
@@ -19,6 +19,9 @@
     explicit target_connection(const boost::asio::any_io_executor& executor) : stream(executor) {}
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
+    std::string ip{};         ///< Of the target's incarnation to which it was opened.
+    std::uint16_t port = 0;   ///< Likewise.
+    std::int64_t born_ms = 0; ///< Likewise; steering::target::born_ms.
     time_point idle_since{};
     time_point idle_until{}; ///< Shortly before the target is expected to close it.
     bool was_used = false;
