--- a/packages/decision/src/steering/target_pool.cpp
+++ b/packages/decision/src/steering/target_pool.cpp
@@ -213,8 +213,9 @@
                                                          : scaled(profile.warm, load / slots);
     const bool has_spare_slots = load + 1 <= std::max(1.0, slots * tuning.spare_fraction);
     const bool in_time = queued == 0 || evaluated.service + evaluated.wait < request.time_left;
+    // A miss takes the time of several hits, so it may only use slots that are idle anyway.
     evaluated.has_capacity = cold_limit_allows(state, now) && queued <= tuning.max_queue_fraction &&
-                             in_time && (rank < tuning.warm_ranks || has_spare_slots);
+                             in_time && (evaluated.warm || has_spare_slots);
     evaluated.cost = scaled(evaluated.service, evaluated.warm ? 1 : tuning.miss_weight) + evaluated.wait +
                      spread_penalty + network;
     return evaluated;
