steering: a request waits only behind those for the same target

Cause: one queue a service, first in first out. A request whose target had room waited behind requests for full ones, and each completion woke the first of the queue, whose target was mostly another one; it went back to the queue. The expected wait was taken from the completions of the whole service, so it was too short for busy objects and too long for the others. Change: a waiting request names its target; it waits behind those for the same target only, is admitted by the time until that target has room, and a completion wakes the first request that waits for that target. Tests: 'waiting: a request whose target has room does not wait behind those for a busy target' and one for requests without objects; both use the new functions, so they did not exist before.

--- a/packages/decision/include/camphorknot/steering/target_pool.hpp
+++ b/packages/decision/include/camphorknot/steering/target_pool.hpp
@@ -8,6 +8,7 @@
 
 #include "camphorknot/steering/model.hpp"
 #include "camphorknot/steering/route_table.hpp"
+#include "camphorknot/steering/wait_queue.hpp"
 
 namespace camphorknot::steering {
 
@@ -128,9 +129,11 @@
 struct placement {
     placement_outcome outcome = placement_outcome::no_target;
     target_state* chosen = nullptr;
-    bool expected_warm = false;  ///< The target is expected to have the object cached.
-    duration expected_service{}; ///< Service time without the wait in the target's queue.
-    duration expected_wait{};    ///< In the target's queue.
+    bool expected_warm = false;              ///< The target is expected to have the object cached.
+    duration expected_service{};             ///< Service time without the wait in the target's queue.
+    duration expected_wait{};                ///< In the target's queue.
+    const target_state* preferred = nullptr; ///< The target of the first rank, also if it has no capacity.
+    room_estimate preferred_room{};          ///< Of that target; zero if it has capacity.
 };
 
 /// Replaces the set of targets. State is kept for unchanged incarnations; removed targets are dropped once
--- a/packages/decision/include/camphorknot/steering/wait_queue.hpp
+++ b/packages/decision/include/camphorknot/steering/wait_queue.hpp
@@ -3,7 +3,9 @@
 ///
 /// Designed for a load that exceeds the capacity of the targets for a few seconds. An answer within its
 /// latency objective is worth several late ones, so a request is refused on arrival if it would leave the
-/// queue too late for its objective.
+/// queue too late for its objective. Objects have their targets, and some are more in demand than others: a
+/// request waits only behind those that wait for the same target, and a target that has room gets the first
+/// of these.
 #pragma once
 
 #include <list>
@@ -26,11 +28,21 @@
 /// One waiting request.
 struct waiting_request {
     std::uint64_t id = 0;
-    int priority = 0;       ///< 0 is the most urgent.
-    time_point objective{}; ///< Deadline of the latency objective.
-    time_point refuse_at{}; ///< When the request is refused if it still waits.
+    int priority = 0;         ///< 0 is the most urgent.
+    time_point objective{};   ///< Deadline of the latency objective.
+    time_point refuse_at{};   ///< When the request is refused if it still waits.
+    std::uint64_t target = 0; ///< Hash of the id of the target that it waits for; 0 for any target.
 };
 
+/// Expected times at which room arises.
+struct room_estimate {
+    duration first{};    ///< Until there is room for one request.
+    duration interval{}; ///< Between the room for further ones.
+};
+
+/// @return the estimate for requests that any target may serve, from the rate at which requests complete.
+room_estimate room_from_rate(double completions_per_s);
+
 /// Requests that wait for one service.
 struct wait_queue {
     std::list<waiting_request> requests; ///< In the order of dispatch.
@@ -42,12 +54,18 @@
     duration retry_after{};
 };
 
+/// @return whether @p request has to wait behind a more urgent one that waits for the same target.
+bool must_wait_behind(const wait_queue& queue, const waiting_request& request);
+
 /// Decides on admission and lowers request.refuse_at to the limit of the queue.
 /// @param objective latency objective; zero if there is none.
-/// @param completions_per_s rate at which the requests of this instance complete.
+/// @param room for the request alone; those ahead of it are added.
 /// @param jitter number in [0, 1) that spreads the retries of refused callers.
 wait_decision decide_wait(const wait_queue& queue, const wait_tuning& tuning, waiting_request& request,
-                          time_point now, duration objective, double completions_per_s, double jitter);
+                          time_point now, duration objective, const room_estimate& room, double jitter);
+
+/// @return the first request in the queue that waits for the target with this hash or for any, or null.
+const waiting_request* first_for_target(const wait_queue& queue, std::uint64_t target);
 
 /// Inserts the request by priority, then by the deadline of its objective.
 void add_waiting(wait_queue& queue, const waiting_request& request);
--- a/packages/decision/src/steering/target_pool.cpp
+++ b/packages/decision/src/steering/target_pool.cpp
@@ -188,7 +188,8 @@
 // Expected times and cost of a request at one target.
 struct candidate {
     bool has_capacity = false;
-    bool warm = false; ///< The object is expected to be cached there.
+    room_estimate room{}; ///< Until the target has capacity again.
+    bool warm = false;    ///< The object is expected to be cached there.
     duration service{};
     duration wait{}; ///< In the target's queue.
     duration cost{};
@@ -216,6 +217,9 @@
     // A miss takes the time of several hits, so it may only use slots that are idle anyway.
     evaluated.has_capacity = cold_limit_allows(state, now) && queued <= tuning.max_queue_fraction &&
                              in_time && (evaluated.warm || has_spare_slots);
+    const double excess = std::max(0.0, load + 1 - slots * (1 + tuning.max_queue_fraction));
+    const duration slot_interval = scaled(profile.warm, state.slowness / slots);
+    evaluated.room = {scaled(slot_interval, excess), slot_interval};
     evaluated.cost = scaled(evaluated.service, evaluated.warm ? 1 : tuning.miss_weight) + evaluated.wait +
                      spread_penalty + network;
     return evaluated;
@@ -379,18 +383,30 @@
     }
     const service_profile& profile = pool.profiles[std::string(request.service)];
     duration min_cost = duration::max();
+    const target_state* preferred = nullptr;
+    room_estimate preferred_room;
     std::size_t rank = 0;
     for (const ranked_target& entry : rank_targets(pool, found->second, request, now)) {
         target_state& state = *entry.state;
         const candidate evaluated = evaluate_candidate(pool, state, request, profile, rank, now);
+        if (rank == 0) {
+            preferred = &state;
+            preferred_room = evaluated.room;
+        }
         ++rank;
         if (!evaluated.has_capacity) {
             best.outcome = best.outcome == placement_outcome::chosen ? best.outcome : placement_outcome::full;
         } else if (evaluated.cost < min_cost) {
             min_cost = evaluated.cost;
-            best = {placement_outcome::chosen, &state, evaluated.warm, evaluated.service, evaluated.wait};
+            best.outcome = placement_outcome::chosen;
+            best.chosen = &state;
+            best.expected_warm = evaluated.warm;
+            best.expected_service = evaluated.service;
+            best.expected_wait = evaluated.wait;
         }
     }
+    best.preferred = preferred;
+    best.preferred_room = preferred_room;
     return best;
 }
 
--- a/packages/decision/src/steering/wait_queue.cpp
+++ b/packages/decision/src/steering/wait_queue.cpp
@@ -13,6 +13,12 @@
     return a.priority != b.priority ? a.priority < b.priority : a.objective < b.objective;
 }
 
+// Whether the two wait for the same target.
+bool competes(const waiting_request& a, const waiting_request& b)
+{
+    return a.target == 0 || b.target == 0 || a.target == b.target;
+}
+
 duration to_duration(double seconds)
 {
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
@@ -28,24 +34,45 @@
     return std::min(tuning.min_retry_after + spread + base, tuning.max_retry_after);
 }
 
+room_estimate room_from_rate(double completions_per_s)
+{
+    const duration interval = to_duration(1 / std::max(min_completions_per_s, completions_per_s));
+    return {interval, interval};
+}
+
+bool must_wait_behind(const wait_queue& queue, const waiting_request& request)
+{
+    return std::ranges::any_of(queue.requests, [&](const waiting_request& waiting) {
+        return competes(waiting, request) && precedes(waiting, request);
+    });
+}
+
 wait_decision decide_wait(const wait_queue& queue, const wait_tuning& tuning, waiting_request& request,
-                          time_point now, duration objective, double completions_per_s, double jitter)
+                          time_point now, duration objective, const room_estimate& room, double jitter)
 {
-    const auto ahead = std::ranges::count_if(
-        queue.requests, [&](const waiting_request& waiting) { return precedes(waiting, request); });
-    const double queue_time_s =
-        (static_cast<double>(ahead) + 1) / std::max(min_completions_per_s, completions_per_s);
+    const auto ahead = std::ranges::count_if(queue.requests, [&](const waiting_request& waiting) {
+        return competes(waiting, request) && precedes(waiting, request);
+    });
+    const duration queue_time = room.first + room.interval * ahead;
     const duration limit =
         objective == duration{}
             ? tuning.max_wait
             : to_duration(std::chrono::duration<double>(objective).count() * tuning.objective_fraction);
     request.refuse_at = std::min(request.refuse_at, now + limit);
-    if (queue.requests.size() >= tuning.max_waiting || now + to_duration(queue_time_s) > request.refuse_at) {
-        return {false, retry_after_for(tuning, queue_time_s, jitter)};
+    if (queue.requests.size() >= tuning.max_waiting || now + queue_time > request.refuse_at) {
+        return {false, retry_after_for(tuning, std::chrono::duration<double>(queue_time).count(), jitter)};
     }
     return {true, duration{}};
 }
 
+const waiting_request* first_for_target(const wait_queue& queue, std::uint64_t target)
+{
+    const auto found = std::ranges::find_if(queue.requests, [&](const waiting_request& waiting) {
+        return waiting.target == 0 || waiting.target == target;
+    });
+    return found == queue.requests.end() ? nullptr : &*found;
+}
+
 void add_waiting(wait_queue& queue, const waiting_request& request)
 {
     const auto position = std::ranges::find_if(
--- a/packages/decision/tests/steering_rollout_test.cpp
+++ b/packages/decision/tests/steering_rollout_test.cpp
@@ -103,14 +103,49 @@
         add_waiting(queue, {id, 1, start + 500ms, start + 2s});
     }
     waiting_request request{99, 1, start + 600ms, start + 3s};
-    const wait_decision refused = decide_wait(queue, tuning, request, start, 600ms, 10, 0.5);
+    const wait_decision refused = decide_wait(queue, tuning, request, start, 600ms, room_from_rate(10), 0.5);
     CHECK_FALSE(refused.admitted);
     CHECK(refused.retry_after >= tuning.min_retry_after);
-    const wait_decision admitted = decide_wait(queue, tuning, request, start, 600ms, 1000, 0.5);
+    const wait_decision admitted =
+        decide_wait(queue, tuning, request, start, 600ms, room_from_rate(1000), 0.5);
     CHECK(admitted.admitted);
     CHECK(request.refuse_at <= start + 600ms);
 }
 
+TEST_CASE("waiting: a request whose target has room does not wait behind those for a busy target")
+{
+    // A wave on a few objects: their target is full, the others are half idle.
+    wait_queue queue;
+    const wait_tuning tuning;
+    for (std::uint64_t id = 0; id < 30; ++id) {
+        add_waiting(queue, {id, 1, start + 500ms, start + 2s, 77});
+    }
+    const room_estimate room{10ms, 50ms};
+    waiting_request same{98, 1, start + 600ms, start + 3s, 77};
+    CHECK(must_wait_behind(queue, same));
+    CHECK_FALSE(decide_wait(queue, tuning, same, start, 600ms, room, 0.5).admitted);
+    waiting_request other{99, 1, start + 600ms, start + 3s, 78};
+    CHECK_FALSE(must_wait_behind(queue, other));
+    CHECK(decide_wait(queue, tuning, other, start, 600ms, room, 0.5).admitted);
+    add_waiting(queue, other);
+    REQUIRE(first_for_target(queue, 78) != nullptr);
+    CHECK(first_for_target(queue, 78)->id == 99);
+    CHECK(first_for_target(queue, 79) == nullptr);
+    waiting_request urgent{100, 0, start + 600ms, start + 3s, 77};
+    CHECK_FALSE(must_wait_behind(queue, urgent));
+}
+
+TEST_CASE("waiting: requests without a target of their own wait behind all, and take any room")
+{
+    wait_queue queue;
+    add_waiting(queue, {1, 1, start + 500ms, start + 2s, 77});
+    waiting_request any{2, 1, start + 600ms, start + 3s};
+    CHECK(must_wait_behind(queue, any));
+    add_waiting(queue, any);
+    CHECK(first_for_target(queue, 77)->id == 1);
+    CHECK(first_for_target(queue, 5)->id == 2);
+}
+
 TEST_CASE("waiting: more urgent requests leave first, then those with the earlier objective")
 {
     wait_queue queue;
--- a/packages/edge/src/relay_search.cpp
+++ b/packages/edge/src/relay_search.cpp
@@ -133,9 +133,12 @@
     while (true) {
         const time_point now = boot_now();
         service_queue& queue = state.queues[plan.service];
-        // Requests in the queue go first, unless this one was woken from it.
-        const bool must_queue = !queue.order.requests.empty() && !was_woken;
         outcome.placement = choose_placement(state, *request, plan, now);
+        const steering::target_state* wanted =
+            outcome.placement.chosen != nullptr ? outcome.placement.chosen : outcome.placement.preferred;
+        entry.target = plan.object && wanted != nullptr ? hash_name(wanted->entry.id) : 0;
+        // Requests in the queue for the same target go first, unless this one was woken from it.
+        const bool must_queue = !was_woken && steering::must_wait_behind(queue.order, entry);
         if (outcome.placement.outcome == steering::placement_outcome::no_target) {
             outcome.refusal = refuse_placement(state, *request, plan, "no_target",
                                                jittered_pause(state, short_retry_after));
@@ -144,10 +147,12 @@
         if (outcome.placement.outcome == steering::placement_outcome::chosen && !must_queue) {
             co_return outcome;
         }
-        const double completions = state.pool.profiles[plan.service].completions_per_s;
+        const steering::room_estimate room =
+            plan.object ? outcome.placement.preferred_room
+                        : steering::room_from_rate(state.pool.profiles[plan.service].completions_per_s);
         const steering::wait_decision decision =
-            steering::decide_wait(queue.order, state.queue_tuning, entry, now, plan.route->objective,
-                                  completions, uniform_real(state.random));
+            steering::decide_wait(queue.order, state.queue_tuning, entry, now, plan.route->objective, room,
+                                  uniform_real(state.random));
         if (!decision.admitted) {
             outcome.refusal = refuse_placement(state, *request, plan, "targets_full", decision.retry_after);
             co_return outcome;
@@ -164,6 +169,22 @@
     }
 }
 
+void wake_waiter_for(traffic_state& state, const std::string& service, const std::string& target)
+{
+    const auto found = state.queues.find(service);
+    if (found == state.queues.end()) {
+        return;
+    }
+    const steering::waiting_request* first =
+        steering::first_for_target(found->second.order, hash_name(target));
+    const auto found_waiter =
+        first == nullptr ? found->second.waiters.end() : found->second.waiters.find(first->id);
+    if (found_waiter != found->second.waiters.end() && !found_waiter->second->is_woken) {
+        found_waiter->second->is_woken = true;
+        found_waiter->second->wakeup.cancel();
+    }
+}
+
 void wake_waiters(traffic_state& state, const std::string& service, std::size_t max_count)
 {
     const auto found = state.queues.find(service);
--- a/packages/edge/src/relay_send.cpp
+++ b/packages/edge/src/relay_send.cpp
@@ -154,7 +154,7 @@
         state.counters.new_connections->fetch_add(1, std::memory_order_relaxed);
     }
     count_version_answer(state, plan, target, outcome, service_time);
-    wake_waiters(state, plan.service, 1);
+    wake_waiter_for(state, plan.service, target.id);
     const bool never_ran = result.outcome == exchange_outcome::not_connected || result.metadata.not_run;
     const bool not_received = result.outcome == exchange_outcome::not_connected || result.metadata.replaced;
     plan.may_have_run = plan.may_have_run || !never_ran;
--- a/packages/edge/src/traffic.hpp
+++ b/packages/edge/src/traffic.hpp
@@ -131,6 +131,9 @@
 /// Wakes up to @p max_count requests of the service's queue, in its order, to search for a target again.
 void wake_waiters(traffic_state& state, const std::string& service, std::size_t max_count);
 
+/// Wakes the first request of the service's queue that waits for @p target, which may have room now.
+void wake_waiter_for(traffic_state& state, const std::string& service, const std::string& target);
+
 /// Accepts callers until the acceptor is closed.
 boost::asio::awaitable<void> accept_callers(traffic_state& state);
 
