steering: no misses beyond the first rank while the service is busy; loads of all regions are known

Change: an object goes beyond its first rank, without being expected there, only while at most 0.6 of the service's slots are in use; summaries to other regions carry up to 512 targets; a request counts as 0.5 ms of processor time. Test: 'placement: while the service is busy, objects do not move to targets that seem idle'.

--- a/packages/decision/include/camphorknot/steering/front_selection.hpp
+++ b/packages/decision/include/camphorknot/steering/front_selection.hpp
@@ -16,7 +16,7 @@
 /// Limits of the selection.
 struct front_selection_tuning {
     /// Processor time of one request, of a core of speed 1.
-    duration cpu_per_request = std::chrono::microseconds(1200);
+    duration cpu_per_request = std::chrono::microseconds(500);
     /// Fraction of its processor that the requests of a selected instance may use. The rest covers bursts.
     double max_utilization = 0.7;
     std::size_t min_instances = 2;
--- a/packages/decision/include/camphorknot/steering/target_pool.hpp
+++ b/packages/decision/include/camphorknot/steering/target_pool.hpp
@@ -25,6 +25,9 @@
     std::size_t max_objects = 64; ///< Recently sent objects remembered per target.
     /// Targets of later ranks get a request only if at most this fraction of their slots is in use.
     double spare_fraction = 0.5;
+    /// Misses go beyond the first rank only while at most this fraction of the service's slots is in use. The
+    /// load of a single target is known late; that of the service changes slowly.
+    double max_miss_utilization = 0.6;
     /// Factor on the service time of a miss, which occupies a slot that could serve several hits.
     double miss_weight = 1.3;
     /// Number of first ranks that are filled with targets of the region assigned to the object.
--- a/packages/decision/src/steering/target_pool.cpp
+++ b/packages/decision/src/steering/target_pool.cpp
@@ -197,7 +197,7 @@
 
 candidate evaluate_candidate(const target_pool& pool, const target_state& state,
                              const placement_request& request, const service_profile& profile,
-                             std::size_t rank, time_point now)
+                             std::size_t rank, bool allows_misses, time_point now)
 {
     const placement_tuning& tuning = pool.tuning;
     const double slots = state.entry.slots;
@@ -216,7 +216,7 @@
     const bool in_time = queued == 0 || evaluated.service + evaluated.wait < request.time_left;
     // A miss takes the time of several hits, so it may only use slots that are idle anyway.
     evaluated.has_capacity = cold_limit_allows(state, now) && queued <= tuning.max_queue_fraction &&
-                             in_time && (evaluated.warm || has_spare_slots);
+                             in_time && (evaluated.warm || (allows_misses && has_spare_slots));
     const double excess = std::max(0.0, load + 1 - slots * (1 + tuning.max_queue_fraction));
     const duration slot_interval = scaled(profile.warm, state.slowness / slots);
     evaluated.room = {scaled(slot_interval, excess), slot_interval};
@@ -385,10 +385,13 @@
     duration min_cost = duration::max();
     const target_state* preferred = nullptr;
     room_estimate preferred_room;
+    const bool allows_misses =
+        !request.has_affinity || utilization(pool, request.service) <= pool.tuning.max_miss_utilization;
     std::size_t rank = 0;
     for (const ranked_target& entry : rank_targets(pool, found->second, request, now)) {
         target_state& state = *entry.state;
-        const candidate evaluated = evaluate_candidate(pool, state, request, profile, rank, now);
+        const candidate evaluated =
+            evaluate_candidate(pool, state, request, profile, rank, allows_misses, now);
         if (rank == 0) {
             preferred = &state;
             preferred_room = evaluated.room;
--- a/packages/decision/tests/steering_placement_test.cpp
+++ b/packages/decision/tests/steering_placement_test.cpp
@@ -92,6 +92,32 @@
     CHECK(used.size() <= 3);
 }
 
+TEST_CASE("placement: while the service is busy, objects do not move to targets that seem idle")
+{
+    // A wave: the objects' targets are full, and two other targets look idle in an old report.
+    placement_fixture fixture;
+    for (std::uint64_t object = 0; object < 50; ++object) {
+        for (auto& [id, state] : fixture.pool.targets) {
+            state.peer_in_flight = 6;
+        }
+        const target_state* home = fixture.choose(object).preferred;
+        REQUIRE(home != nullptr);
+        std::size_t idle = 0;
+        for (auto& [id, state] : fixture.pool.targets) {
+            if (&state != home && idle < 2) {
+                state.peer_in_flight = 0;
+                ++idle;
+            }
+        }
+        CHECK(fixture.choose(object).outcome == placement_outcome::full);
+        // The wave is over: idle slots may be used again.
+        for (auto& [id, state] : fixture.pool.targets) {
+            state.peer_in_flight = &state == home ? 6 : 0;
+        }
+        CHECK(fixture.choose(object).outcome == placement_outcome::chosen);
+    }
+}
+
 TEST_CASE("placement: a request that no target can answer in time is not placed")
 {
     placement_fixture fixture;
--- a/packages/edge/src/control_fleet.cpp
+++ b/packages/edge/src/control_fleet.cpp
@@ -22,7 +22,7 @@
 constexpr std::uint64_t startup_contact_exchange_ticks = 3;
 constexpr std::uint64_t contact_exchange_ticks = 10;
 // Summaries to other regions leave out the requests in flight if these are at more targets than this.
-constexpr std::size_t max_cross_region_in_flight = 64;
+constexpr std::size_t max_cross_region_in_flight = 512;
 // Records are requested from a peer whose copy is newer by at least this.
 constexpr double min_record_lead_s = 0.01;
 // A peer that has not answered in this time is skipped: the next peer with newer records is asked.
