edge: answers without end are cut off, interim answers are not relayed

Cause, by reading: an answer's body was held up to 32 MiB whatever other answers were held, the buffer for what cannot be parsed yet (a chunk extension, a trailer) had no limit, and an interim answer (1xx) on a new connection without an attempt id was taken for the final answer and relayed to the caller. Change: all bodies that are being read share 48 MiB, the buffer is limited to 128 KiB and a head to 16 KiB; up to 16 interim answers are skipped. Such answers end as broken or by the route's time: 502 or 504, the connection closed, a failure of the target. Tests: 'edge relay: an interim answer of a server is not the answer' failed first (3 assertions); 'bytes without end' plays seven kinds of such servers. With the earlier code the run of both ended without a result for the second one; why was not traced.

--- a/packages/edge/src/target_exchange.cpp
+++ b/packages/edge/src/target_exchange.cpp
@@ -17,6 +17,12 @@
 
 // Maximum size of an answer's body, which is held in memory; a larger one counts as broken.
 constexpr std::size_t max_answer_bytes = std::size_t{32} * 1024 * 1024;
+// Limit for the total size of the answers that are being read; an answer that would exceed it counts as
+// broken.
+constexpr std::size_t max_held_answer_bytes = std::size_t{48} * 1024 * 1024;
+constexpr std::uint32_t max_answer_head_bytes = 16 * 1024;
+// Interim answers (1xx) that are skipped before the connection is closed.
+constexpr int max_interim_answers = 16;
 // A target that does not accept a connection in this time counts as unreachable.
 constexpr duration connect_timeout = std::chrono::milliseconds(500);
 // A connection is closed when sent bytes stay unacknowledged for this long.
@@ -136,19 +142,50 @@
     bool clean = true;            ///< No answer to another request was skipped.
 };
 
-asio::awaitable<read_outcome> read_answer(target_connection_handle connection, const std::string& attempt,
-                                          bool without_body, exchange_result& result, bool& keep_alive)
+using answer_parser = http::response_parser<http::string_body>;
+
+// Reads one message piece by piece and counts its body as held.
+asio::awaitable<boost::system::error_code>
+read_message(connection_pool& pool, target_connection_handle connection, answer_parser& parser)
+{
+    boost::system::error_code error;
+    std::size_t held = 0;
+    while (!error && !parser.is_done()) {
+        co_await http::async_read_some(connection->stream, connection->buffer, parser,
+                                       asio::redirect_error(asio::use_awaitable, error));
+        const std::size_t body_bytes = parser.get().body().size();
+        pool.held_answer_bytes += body_bytes - held;
+        held = body_bytes;
+        if (pool.held_answer_bytes > max_held_answer_bytes) {
+            error = http::error::body_limit;
+        }
+    }
+    pool.held_answer_bytes -= held;
+    co_return error;
+}
+
+asio::awaitable<read_outcome> read_answer(connection_pool& pool, target_connection_handle connection,
+                                          const std::string& attempt, bool without_body,
+                                          exchange_result& result, bool& keep_alive)
 {
     read_outcome outcome;
+    int interim = 0;
     for (int skipped = 0; skipped <= max_stale_answers; ++skipped) {
-        http::response_parser<http::string_body> parser;
+        answer_parser parser;
+        parser.header_limit(max_answer_head_bytes);
         parser.body_limit(max_answer_bytes);
         parser.skip(without_body);
-        co_await http::async_read(connection->stream, connection->buffer, parser,
-                                  asio::redirect_error(asio::use_awaitable, outcome.error));
+        outcome.error = co_await read_message(pool, connection, parser);
         if (outcome.error) {
             co_return outcome;
         }
+        if (parser.get().result_int() / 100 == 1) {
+            --skipped;
+            if (++interim > max_interim_answers) {
+                co_return outcome;
+            }
+            continue;
+        }
         keep_alive = parser.keep_alive();
         result.response = parser.release();
         result.metadata = platform::read_answer_metadata(result.response);
@@ -218,7 +255,8 @@
     connection->stream.expires_after(time_left);
     start_write(connection, write);
     bool keep_alive = false;
-    const read_outcome outcome = co_await read_answer(connection, attempt, without_body, result, keep_alive);
+    const read_outcome outcome =
+        co_await read_answer(pool, connection, attempt, without_body, result, keep_alive);
     handle->connection.reset();
     if (handle->abandoned) {
         result.outcome = exchange_outcome::abandoned;
--- a/packages/edge/src/target_exchange.hpp
+++ b/packages/edge/src/target_exchange.hpp
@@ -14,11 +14,15 @@
 
 namespace camphorknot::edge {
 
+/// Limit for the bytes of an answer that cannot be parsed yet.
+inline constexpr std::size_t max_unparsed_answer_bytes = std::size_t{128} * 1024;
+
 /// An open connection to a target.
 struct target_connection {
     explicit target_connection(const boost::asio::any_io_executor& executor) : stream(executor) {}
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    /// Limited, since a part of an answer that does not end would fill it without end.
+    boost::beast::flat_buffer buffer{max_unparsed_answer_bytes};
     std::string ip{};         ///< Of the target's incarnation to which it was opened.
     std::uint16_t port = 0;   ///< Likewise.
     std::int64_t born_ms = 0; ///< Likewise; steering::target::born_ms.
@@ -31,6 +35,7 @@
 /// Idle connections, by target id.
 struct connection_pool {
     std::map<std::string, std::vector<target_connection_handle>> idle;
+    std::size_t held_answer_bytes = 0; ///< Total size of the bodies that are being read.
 };
 
 /// Closes idle connections that have reached idle_until, and all connections to targets for which @p
--- a/packages/edge/tests/edge_relay_test.cpp
+++ b/packages/edge/tests/edge_relay_test.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <utility>
 
 #include "edge_fixture.hpp"
 
@@ -68,6 +69,40 @@
     CHECK(fixture.runs_of("a2") == 1);
 }
 
+TEST_CASE("edge relay: an interim answer of a server is not the answer")
+{
+    edge_fixture fixture;
+    standins::set_script(*fixture.servers.front(), {server_behavior::interim_answer});
+    const caller_response answer = fixture.ask(make_request(http::verb::post, "/seal/1", "a1", "x"));
+    CHECK(answer.result_int() == 200);
+    CHECK(answer.body() == "answer of i-1");
+    CHECK(answer["Server-Signature"] == "s-a1");
+}
+
+TEST_CASE("edge relay: bytes without end from a server end by the route's time, and are no success")
+{
+    for (const auto behavior :
+         {server_behavior::endless_head, server_behavior::endless_fields, server_behavior::endless_body,
+          server_behavior::endless_chunks, server_behavior::endless_trailers,
+          server_behavior::endless_interim, server_behavior::trickled_head}) {
+        CAPTURE(static_cast<int>(behavior));
+        edge_fixture fixture;
+        standins::server_standin& server = *fixture.servers.front();
+        standins::set_script(server, {behavior});
+        const auto asked_at = std::chrono::steady_clock::now();
+        const caller_response answer = fixture.ask(make_request(http::verb::post, "/seal/1", "a1", "x"));
+        // The route allows one second.
+        CHECK(std::chrono::steady_clock::now() - asked_at < 1500ms);
+        CHECK((answer.result_int() == 502 || answer.result_int() == 504));
+        CHECK(fixture.runs_of("a1") == 1);
+        // The connection is closed: the server can send nothing more.
+        std::uint64_t sent = 0;
+        CHECK(eventually([&] { return std::exchange(sent, server.endless_bytes.load()) == sent; }));
+        // The other callers are served.
+        CHECK(fixture.ask(make_request(http::verb::post, "/seal/1", "a2", "x")).result_int() == 200);
+    }
+}
+
 TEST_CASE("edge relay: a refusal of a server that does not say it has not run becomes no promise")
 {
     edge_fixture fixture(2);
