steering: waiting requests search again when room is expected; queues do not count as slots in use

Room arises mostly through other instances' requests, which wake nobody here but a tick every 200 ms. And a few targets with full queues raised the service's load above the limit for misses while others were idle. Change: a waiting request searches again after its expected wait; the limit for misses counts slots, not queues. Test: 'placement: the queues of a few busy targets do not keep objects from idle ones'.

--- a/packages/decision/include/camphorknot/steering/target_pool.hpp
+++ b/packages/decision/include/camphorknot/steering/target_pool.hpp
@@ -192,7 +192,11 @@
 /// more recently.
 void on_peer_load_reported(target_state& state, double requests, time_point now);
 
-/// @return the fraction of the service's slots in use, from own and reported requests; 0 without targets.
+/// @return the load of the service relative to its slots, from own and reported requests, those in the
+/// targets' queues included; 0 without targets.
 double utilization(const target_pool& pool, std::string_view service);
 
+/// @return the fraction of the service's slots in use; at most 1, since queues use no slots.
+double slot_utilization(const target_pool& pool, std::string_view service);
+
 } // namespace camphorknot::steering
--- a/packages/decision/include/camphorknot/steering/wait_queue.hpp
+++ b/packages/decision/include/camphorknot/steering/wait_queue.hpp
@@ -52,6 +52,7 @@
 struct wait_decision {
     bool admitted = false;
     duration retry_after{};
+    duration expected_wait{}; ///< Until there is room for the request, if it is admitted.
 };
 
 /// @return whether @p request has to wait behind a more urgent one that waits for the same target.
--- a/packages/decision/src/steering/target_pool.cpp
+++ b/packages/decision/src/steering/target_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace camphorknot::steering {
 namespace {
@@ -225,6 +226,22 @@
     return evaluated;
 }
 
+// Sum of the targets' loads relative to the sum of their slots; a target counts at most with `max_load` times
+// its slots.
+double load_fraction(const target_pool& pool, std::string_view service, double max_load)
+{
+    const auto found = pool.by_service.find(std::string(service));
+    double slots = 0;
+    double load = 0;
+    if (found != pool.by_service.end()) {
+        for (const target_state* state : found->second) {
+            slots += state->entry.slots;
+            load += std::min(total_load(*state), max_load * state->entry.slots);
+        }
+    }
+    return slots == 0 ? 0 : load / slots;
+}
+
 duration warmup_time(const route_table& policies, std::string_view service)
 {
     const service_policy* policy = find_service_policy(policies, service);
@@ -386,7 +403,7 @@
     const target_state* preferred = nullptr;
     room_estimate preferred_room;
     const bool allows_misses =
-        !request.has_affinity || utilization(pool, request.service) <= pool.tuning.max_miss_utilization;
+        !request.has_affinity || slot_utilization(pool, request.service) <= pool.tuning.max_miss_utilization;
     std::size_t rank = 0;
     for (const ranked_target& entry : rank_targets(pool, found->second, request, now)) {
         target_state& state = *entry.state;
@@ -478,16 +495,12 @@
 
 double utilization(const target_pool& pool, std::string_view service)
 {
-    const auto found = pool.by_service.find(std::string(service));
-    double slots = 0;
-    double load = 0;
-    if (found != pool.by_service.end()) {
-        for (const target_state* state : found->second) {
-            slots += state->entry.slots;
-            load += total_load(*state);
-        }
-    }
-    return slots == 0 ? 0 : load / slots;
+    return load_fraction(pool, service, std::numeric_limits<double>::infinity());
+}
+
+double slot_utilization(const target_pool& pool, std::string_view service)
+{
+    return load_fraction(pool, service, 1);
 }
 
 } // namespace camphorknot::steering
--- a/packages/decision/src/steering/wait_queue.cpp
+++ b/packages/decision/src/steering/wait_queue.cpp
@@ -60,9 +60,10 @@
             : to_duration(std::chrono::duration<double>(objective).count() * tuning.objective_fraction);
     request.refuse_at = std::min(request.refuse_at, now + limit);
     if (queue.requests.size() >= tuning.max_waiting || now + queue_time > request.refuse_at) {
-        return {false, retry_after_for(tuning, std::chrono::duration<double>(queue_time).count(), jitter)};
+        return {false, retry_after_for(tuning, std::chrono::duration<double>(queue_time).count(), jitter),
+                duration{}};
     }
-    return {true, duration{}};
+    return {true, duration{}, queue_time};
 }
 
 const waiting_request* first_for_target(const wait_queue& queue, std::uint64_t target)
--- a/packages/decision/tests/steering_placement_test.cpp
+++ b/packages/decision/tests/steering_placement_test.cpp
@@ -118,6 +118,22 @@
     }
 }
 
+TEST_CASE("placement: the queues of a few busy targets do not keep objects from idle ones")
+{
+    // A hot customer: half of the targets have full queues, so the load is as high as the slots, but half of
+    // these are idle.
+    placement_fixture fixture;
+    int number = 0;
+    for (auto& [id, state] : fixture.pool.targets) {
+        state.peer_in_flight = number++ % 2 == 0 ? 6 : 0;
+    }
+    CHECK(utilization(fixture.pool, "catalogue") == Approx(1));
+    CHECK(slot_utilization(fixture.pool, "catalogue") == Approx(0.5));
+    for (std::uint64_t object = 0; object < 50; ++object) {
+        CHECK(fixture.choose(object).outcome == placement_outcome::chosen);
+    }
+}
+
 TEST_CASE("placement: a request that no target can answer in time is not placed")
 {
     placement_fixture fixture;
--- a/packages/edge/src/relay_search.cpp
+++ b/packages/edge/src/relay_search.cpp
@@ -12,6 +12,8 @@
 
 // For requests without a deadline on routes without a timeout.
 constexpr duration default_deadline = std::chrono::seconds(30);
+// Shortest time after which a waiting request searches for a target again.
+constexpr duration min_recheck_delay = std::chrono::milliseconds(20);
 
 std::string pick_service(traffic_state& state, const steering::route& route)
 {
@@ -67,23 +69,27 @@
     return placement;
 }
 
-// Waits in the service's queue. Returns whether the request was woken for its turn; false if its time is over
-// or its caller has left.
+// Waits in the service's queue until a target of this instance's requests has room, or until room is
+// expected: other instances' requests end without notice. Returns false if the request's time is over or its
+// caller has left.
 asio::awaitable<bool> wait_for_turn(traffic_state& state, std::shared_ptr<caller_request> request,
-                                    steering::waiting_request entry, std::string service)
+                                    steering::waiting_request entry, std::string service,
+                                    duration expected_wait)
 {
     auto waiting = std::make_shared<waiter>(state.context);
     request->active_waiter = waiting;
     service_queue& queue = state.queues[service];
     steering::add_waiting(queue.order, entry);
     queue.waiters[entry.id] = waiting;
-    waiting->wakeup.expires_after(std::max(duration{}, entry.refuse_at - boot_now()));
+    const duration until_refusal = std::max(duration{}, entry.refuse_at - boot_now());
+    waiting->wakeup.expires_after(std::min(until_refusal, std::max(expected_wait, min_recheck_delay)));
     boost::system::error_code cancelled;
     co_await waiting->wakeup.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
     request->active_waiter.reset();
     steering::remove_waiting(queue.order, entry.id);
     queue.waiters.erase(entry.id);
-    co_return waiting->is_woken && !request->caller_left;
+    const bool has_time = waiting->is_woken || boot_now() < entry.refuse_at;
+    co_return has_time && !request->caller_left;
 }
 
 platform::http_response refuse_placement(traffic_state& state, const caller_request& request,
@@ -157,7 +163,8 @@
             outcome.refusal = refuse_placement(state, *request, plan, "targets_full", decision.retry_after);
             co_return outcome;
         }
-        const bool is_turn = co_await wait_for_turn(state, request, entry, plan.service);
+        const bool is_turn =
+            co_await wait_for_turn(state, request, entry, plan.service, decision.expected_wait);
         observe(*state.counters.wait_time, boot_now() - now);
         was_woken = true;
         if (!is_turn) {
