edge: a graceful stop waits for requests that arrive and answers that are read

Cause, found by looking for what operators of similar systems reported: a stop ended when no request was between its complete arrival and its final answer. A request whose body was still arriving, and an answer of which a slow caller had not read all, were cut off at 3 s after the stop signal. Change: a request counts from its first byte until its answer is written. Tests: 'edge records: a graceful stop waits for requests that are still arriving' and '... for answers that their callers still read' failed first (3 assertions) and pass.

--- a/packages/edge/src/sessions.cpp
+++ b/packages/edge/src/sessions.cpp
@@ -161,8 +161,23 @@
         });
 }
 
+// Counts a request as unfinished during its lifetime.
+class unfinished_request {
+public:
+    explicit unfinished_request(traffic_state& state) : state_(state) { ++state_.unfinished_requests; }
+    ~unfinished_request() { --state_.unfinished_requests; }
+    unfinished_request(const unfinished_request&) = delete;
+    unfinished_request& operator=(const unfinished_request&) = delete;
+    unfinished_request(unfinished_request&&) = delete;
+    unfinished_request& operator=(unfinished_request&&) = delete;
+
+private:
+    traffic_state& state_;
+};
+
 asio::awaitable<bool> serve_next_request(traffic_state& state, session_handle connection)
 {
+    const unfinished_request counted(state);
     std::shared_ptr<caller_request> request = co_await read_request(state, connection);
     if (request == nullptr) {
         co_return false;
--- a/packages/edge/src/traffic.cpp
+++ b/packages/edge/src/traffic.cpp
@@ -77,7 +77,7 @@
         boost::system::error_code ignored; // A failure to close needs no handling.
         state.acceptor.close(ignored);
     }
-    const bool idle = state.running_requests == 0 && elapsed >= min_stop_time;
+    const bool idle = state.unfinished_requests == 0 && elapsed >= min_stop_time;
     if ((idle || elapsed >= limit) && state.on_stopped) {
         log_event(log_severity::info, "traffic_stopped",
                   {{"running", std::to_string(state.running_requests)}});
--- a/packages/edge/src/traffic.hpp
+++ b/packages/edge/src/traffic.hpp
@@ -83,7 +83,10 @@
     random_source random;
     std::uint64_t next_request_id = 1;
     std::size_t open_sessions = 0;
-    std::size_t running_requests = 0;       ///< Requests without a final answer.
+    std::size_t running_requests = 0; ///< Requests without a final answer.
+    /// Requests of which a part has been received and whose answer has not been written completely. A
+    /// graceful stop waits for them.
+    std::size_t unfinished_requests = 0;
     std::size_t held_body_bytes = 0;        ///< Total size of their bodies.
     double request_rate = 0;                ///< Requests per second from callers, smoothed.
     std::uint64_t request_rate_counted = 0; ///< Requests up to the last update of the rate.
--- a/packages/edge/tests/edge_records_test.cpp
+++ b/packages/edge/tests/edge_records_test.cpp
@@ -1,4 +1,6 @@
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <sstream>
 
 #include "edge_fixture.hpp"
 
@@ -146,3 +148,41 @@
     CHECK_FALSE(answer.keep_alive());
     CHECK(camphorknot::edge::wait_until_stopped(*fixture.running, 6s));
 }
+
+TEST_CASE("edge records: a graceful stop waits for requests that are still arriving")
+{
+    edge_fixture fixture;
+    caller connection(fixture.settings.front.port);
+    std::ostringstream text;
+    text << make_request(http::verb::post, "/seal/1", "a1", "a basket");
+    const std::string bytes = text.str();
+    camphorknot::edge::begin_stop(*fixture.running);
+    CHECK_FALSE(camphorknot::edge::wait_until_stopped(*fixture.running, 2600ms));
+    boost::asio::write(connection.stream.socket(), boost::asio::buffer(bytes.substr(0, bytes.size() - 4)));
+    // Without requests a stop ends after 3 s.
+    CHECK_FALSE(camphorknot::edge::wait_until_stopped(*fixture.running, 700ms));
+    boost::asio::write(connection.stream.socket(), boost::asio::buffer(bytes.substr(bytes.size() - 4)));
+    caller_response answer;
+    http::read(connection.stream, connection.buffer, answer);
+    CAPTURE(answer.body());
+    CHECK(answer.result_int() == 200);
+    CHECK(camphorknot::edge::wait_until_stopped(*fixture.running, 3s));
+}
+
+TEST_CASE("edge records: a graceful stop waits for answers that their callers still read")
+{
+    edge_fixture fixture;
+    fixture.servers.front()->answer_bytes = 16 * 1024 * 1024;
+    caller connection(fixture.settings.front.port);
+    http::write(connection.stream, make_request(http::verb::post, "/seal/1", "a1", "x"));
+    REQUIRE(eventually([&] { return fixture.runs_of("a1") == 1; }));
+    std::this_thread::sleep_for(500ms);
+    camphorknot::edge::begin_stop(*fixture.running);
+    CHECK_FALSE(camphorknot::edge::wait_until_stopped(*fixture.running, 3500ms));
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(64 * 1024 * 1024);
+    http::read(connection.stream, connection.buffer, parser);
+    CHECK(parser.get().result_int() == 200);
+    CHECK(parser.get().body().size() == 16 * 1024 * 1024);
+    CHECK(camphorknot::edge::wait_until_stopped(*fixture.running, 3s));
+}
