steering: which collections are requested from peers is a decision of its own

Change: record_requests selects the messages to a peer; the edge package sends them. Test: 'records: the targets are requested while a large configuration is on its way'.

--- a/packages/decision/src/steering/front_selection.cpp
+++ b/packages/decision/src/steering/front_selection.cpp
@@ -22,6 +22,7 @@
                                             const front_selection_tuning& tuning)
 {
     std::vector<std::uint32_t> strengths;
+    strengths.reserve(contacts.size());
     for (const instance_contact& contact : contacts) {
         strengths.push_back(contact.cpu_millicores);
     }
--- a/packages/decision/tests/steering_front_selection_test.cpp
+++ b/packages/decision/tests/steering_front_selection_test.cpp
@@ -25,6 +25,7 @@
 std::vector<instance_contact> mixed_domain()
 {
     std::vector<instance_contact> contacts;
+    contacts.reserve(13);
     for (int number = 0; number < 13; ++number) {
         contacts.push_back(make_contact("edge-" + std::to_string(number), number % 6 == 5 ? 500 : 100));
     }
@@ -65,6 +66,7 @@
 TEST_CASE("front selection: instances of equal or unknown strength are all selected, up to the limit")
 {
     std::vector<instance_contact> equal;
+    equal.reserve(100);
     for (int number = 0; number < 100; ++number) {
         equal.push_back(make_contact("edge-" + std::to_string(number), 0));
     }
--- a/packages/decision/tests/steering_records_test.cpp
+++ b/packages/decision/tests/steering_records_test.cpp
@@ -111,3 +111,34 @@
     CHECK_FALSE(take_retry(budget, bounds, 1, now + 5s));
     CHECK(take_retry(budget, bounds, 1, now + 12s));
 }
+
+TEST_CASE("records: the targets are requested while a large configuration is on its way")
+{
+    record_replica replica;
+    record_requests pending;
+    const std::array<record_position, collection_count> peer = {{{5, 10}, {6, 10}, {7, 10}}};
+    const time_point start{1000s};
+    const auto index_of = [](collection group) { return static_cast<std::size_t>(group); };
+    const auto first = select_requests(replica, pending, peer, start);
+    REQUIRE(first.size() == 2);
+    // The message for the targets goes first, and does not ask for the orders.
+    CHECK(first.front().at(index_of(collection::targets)).as_of_s < 0);
+    CHECK(first.front().at(index_of(collection::orders)).as_of_s > 1e9);
+    CHECK(first.back().at(index_of(collection::orders)).as_of_s < 0);
+    for (const auto& message : first) {
+        on_requested(pending, message, start);
+    }
+    CHECK(select_requests(replica, pending, peer, start + 1s).empty());
+    const std::vector<record_update> answer = {{collection::targets, true, {}, {6, 10}}};
+    on_answered(pending, answer);
+    apply_update(replica, answer.front());
+    // A target leaves while the orders are on their way: only the targets are requested.
+    const std::array<record_position, collection_count> later = {{{5, 11}, {8, 11}, {7, 11}}};
+    const auto second = select_requests(replica, pending, later, start + 1100ms);
+    REQUIRE(second.size() == 1);
+    CHECK(second.front().at(index_of(collection::targets)).version == 6);
+    // The orders are requested again only after their longer time.
+    CHECK(select_requests(replica, pending, later, start + 2s).size() == 2);
+    on_answered(pending, {});
+    CHECK(select_requests(replica, pending, later, start).size() == 2);
+}
--- a/packages/edge/src/control.hpp
+++ b/packages/edge/src/control.hpp
@@ -71,8 +71,7 @@
     std::uint64_t status_sequence = 0;
     std::uint64_t tick_count = 0;
     time_point started_at{};
-    /// When each collection was last requested from a peer; zero after its answer.
-    std::array<time_point, steering::collection_count> records_requested_at{};
+    steering::record_requests pending_requests;                            ///< To peers.
     std::map<std::string, steering::instance_contact> own_domain_contacts; ///< By peer address.
     std::vector<steering::instance_contact> registered_instances;          ///< From the store and from peers.
     bool stopping = false;
--- a/packages/edge/src/control_fleet.cpp
+++ b/packages/edge/src/control_fleet.cpp
@@ -1,8 +1,6 @@
 // Messages between instances: statuses within a failure domain, summaries between failure domains, and
 // requests for records of which another instance has a newer copy.
 #include <boost/asio/post.hpp>
-#include <limits>
-#include <span>
 
 #include "control_discovery.hpp"
 
@@ -25,65 +23,17 @@
 constexpr std::uint64_t contact_exchange_ticks = 10;
 // Summaries to other regions leave out the requests in flight if these are at more targets than this.
 constexpr std::size_t max_cross_region_in_flight = 512;
-// Records are requested from a peer whose copy is newer by at least this.
-constexpr double min_record_lead_s = 0.01;
-// A peer that has not answered in this time is skipped: the next peer with newer records is asked. The orders
-// hold the configuration, which may be large.
-constexpr duration records_answer_timeout = std::chrono::milliseconds(1200);
-constexpr duration orders_answer_timeout = std::chrono::milliseconds(2000);
 
-bool is_newer(const control_state& state, const steering::record_positions& positions, std::size_t index)
-{
-    return positions.at(index).as_of_s >
-           state.replica.collections.at(index).position.as_of_s + min_record_lead_s;
-}
-
-// Requests the collections that no peer has been asked for, so that a large configuration is not sent several
-// times over the link of a small instance.
-void request_collections(control_state& state, const std::string& address,
-                         const steering::record_positions& positions,
-                         std::span<const steering::collection> groups, duration answer_timeout)
-{
-    const time_point now = boot_now();
-    records_request request;
-    for (steering::record_position& position : request.positions) {
-        position.as_of_s = std::numeric_limits<double>::max(); // Not requested.
-    }
-    std::vector<std::size_t> requested;
-    for (const steering::collection group : groups) {
-        const auto index = static_cast<std::size_t>(group);
-        if (is_newer(state, positions, index) &&
-            now - state.records_requested_at.at(index) >= answer_timeout) {
-            request.positions.at(index) = state.replica.collections.at(index).position;
-            requested.push_back(index);
-        }
-    }
-    if (!requested.empty() && send_to(*state.peers, address, encode_frame(request))) {
-        for (const std::size_t index : requested) {
-            state.records_requested_at.at(index) = now;
-        }
-    }
-}
-
-// Requests the collections of which the peer has newer copies. The targets do not wait behind a large
-// configuration.
+// Requests the collections of which the peer has newer copies.
 void request_records(control_state& state, const std::string& address,
                      const steering::record_positions& positions)
 {
-    constexpr std::array small_groups = {steering::collection::targets, steering::collection::rollout_states};
-    constexpr std::array large_groups = {steering::collection::orders};
-    request_collections(state, address, positions, small_groups, records_answer_timeout);
-    request_collections(state, address, positions, large_groups, orders_answer_timeout);
-}
-
-// Without an update the peer has nothing newer.
-void on_records_answered(control_state& state, const records_answer& answer)
-{
-    if (answer.updates.empty()) {
-        state.records_requested_at = {};
-    }
-    for (const steering::record_update& update : answer.updates) {
-        state.records_requested_at.at(static_cast<std::size_t>(update.group)) = {};
+    const time_point now = boot_now();
+    for (const steering::requested_positions& message :
+         steering::select_requests(state.replica, state.pending_requests, positions, now)) {
+        if (send_to(*state.peers, address, encode_frame(records_request{message}))) {
+            steering::on_requested(state.pending_requests, message, now);
+        }
     }
 }
 
@@ -177,7 +127,7 @@
         return make_records_answer(state, *request);
     }
     if (auto* answer = std::get_if<records_answer>(&message)) {
-        on_records_answered(state, *answer);
+        steering::on_answered(state.pending_requests, answer->updates);
         std::size_t changed = 0;
         for (const steering::record_update& update : answer->updates) {
             changed += apply_record_update(state, update, "peer");
--- a/packages/edge/tests/edge_records_test.cpp
+++ b/packages/edge/tests/edge_records_test.cpp
@@ -170,8 +170,9 @@
 
 TEST_CASE("edge records: a graceful stop waits for answers that their callers still read")
 {
+    constexpr std::size_t answer_bytes = std::size_t{16} * 1024 * 1024;
     edge_fixture fixture;
-    fixture.servers.front()->answer_bytes = 16 * 1024 * 1024;
+    fixture.servers.front()->answer_bytes = answer_bytes;
     caller connection(fixture.settings.front.port);
     http::write(connection.stream, make_request(http::verb::post, "/seal/1", "a1", "x"));
     REQUIRE(eventually([&] { return fixture.runs_of("a1") == 1; }));
@@ -179,9 +180,9 @@
     camphorknot::edge::begin_stop(*fixture.running);
     CHECK_FALSE(camphorknot::edge::wait_until_stopped(*fixture.running, 3500ms));
     http::response_parser<http::string_body> parser;
-    parser.body_limit(64 * 1024 * 1024);
+    parser.body_limit(2 * answer_bytes);
     http::read(connection.stream, connection.buffer, parser);
     CHECK(parser.get().result_int() == 200);
-    CHECK(parser.get().body().size() == 16 * 1024 * 1024);
+    CHECK(parser.get().body().size() == answer_bytes);
     CHECK(camphorknot::edge::wait_until_stopped(*fixture.running, 3s));
 }
