steering: a large configuration is requested from instances with fast links only

Change: orders are requested only from instances of the failure domain with the fastest link among the live ones. Test: 'records: a large configuration is requested from instances with fast links only'.

--- a/packages/decision/include/camphorknot/steering/fleet.hpp
+++ b/packages/decision/include/camphorknot/steering/fleet.hpp
@@ -172,6 +172,10 @@
 /// @return the statuses of the other instances of the own failure domain that are alive and not leaving.
 std::vector<const instance_status*> live_statuses(const fleet& peers, time_point now);
 
+/// @return whether no other live instance of the own failure domain has a faster link.
+/// @param link_mbps of an instance of the own failure domain.
+bool has_fastest_link(const fleet& peers, std::uint32_t link_mbps, time_point now);
+
 /// @return the summaries of the other failure domains that are alive.
 std::vector<const domain_summary*> live_summaries(const fleet& peers, time_point now);
 
--- a/packages/decision/include/camphorknot/steering/record_requests.hpp
+++ b/packages/decision/include/camphorknot/steering/record_requests.hpp
@@ -21,12 +21,14 @@
 using requested_positions = std::array<record_position, collection_count>;
 
 /// @param peer positions of the peer's copies.
+/// @param has_fast_link whether no live peer has a faster link than this one. The orders are requested only
+/// from such peers: one weak instance that all others ask would send a large configuration for seconds.
 /// @return the messages to send, in order; empty if the peer has nothing newer or other peers were asked. A
 /// collection that is not requested has a position that no copy exceeds.
 std::vector<requested_positions> select_requests(const record_replica& replica,
                                                  const record_requests& pending,
                                                  const std::array<record_position, collection_count>& peer,
-                                                 time_point now);
+                                                 bool has_fast_link, time_point now);
 
 /// Counts the collections of a message from select_requests as requested.
 void on_requested(record_requests& pending, const requested_positions& message, time_point now);
--- a/packages/decision/src/steering/fleet.cpp
+++ b/packages/decision/src/steering/fleet.cpp
@@ -252,6 +252,15 @@
     return live;
 }
 
+bool has_fastest_link(const fleet& peers, std::uint32_t link_mbps, time_point now)
+{
+    return std::ranges::none_of(peers.members, [&](const auto& entry) {
+        const fleet::member& member = entry.second;
+        return member.status.identity.link_mbps > link_mbps && is_alive(peers, member, now) &&
+               !member.status.leaving;
+    });
+}
+
 std::vector<const domain_summary*> live_summaries(const fleet& peers, time_point now)
 {
     std::vector<const domain_summary*> live;
--- a/packages/decision/src/steering/record_requests.cpp
+++ b/packages/decision/src/steering/record_requests.cpp
@@ -31,7 +31,7 @@
 std::vector<requested_positions> select_requests(const record_replica& replica,
                                                  const record_requests& pending,
                                                  const std::array<record_position, collection_count>& peer,
-                                                 time_point now)
+                                                 bool has_fast_link, time_point now)
 {
     const std::vector<std::vector<collection>> messages = {{collection::targets, collection::rollout_states},
                                                            {collection::orders}};
@@ -41,7 +41,8 @@
         message.fill({0, not_requested});
         for (const collection group : groups) {
             const auto index = static_cast<std::size_t>(group);
-            if (is_due(replica, pending, peer.at(index), group, now)) {
+            const bool may_send = group != collection::orders || has_fast_link;
+            if (may_send && is_due(replica, pending, peer.at(index), group, now)) {
                 message.at(index) = records_of(replica, group).position;
             }
         }
--- a/packages/decision/tests/steering_records_test.cpp
+++ b/packages/decision/tests/steering_records_test.cpp
@@ -119,7 +119,7 @@
     const std::array<record_position, collection_count> peer = {{{5, 10}, {6, 10}, {7, 10}}};
     const time_point start{1000s};
     const auto index_of = [](collection group) { return static_cast<std::size_t>(group); };
-    const auto first = select_requests(replica, pending, peer, start);
+    const auto first = select_requests(replica, pending, peer, true, start);
     REQUIRE(first.size() == 2);
     // The message for the targets goes first, and does not ask for the orders.
     CHECK(first.front().at(index_of(collection::targets)).as_of_s < 0);
@@ -128,17 +128,41 @@
     for (const auto& message : first) {
         on_requested(pending, message, start);
     }
-    CHECK(select_requests(replica, pending, peer, start + 1s).empty());
+    CHECK(select_requests(replica, pending, peer, true, start + 1s).empty());
     const std::vector<record_update> answer = {{collection::targets, true, {}, {6, 10}}};
     on_answered(pending, answer);
     apply_update(replica, answer.front());
     // A target leaves while the orders are on their way: only the targets are requested.
     const std::array<record_position, collection_count> later = {{{5, 11}, {8, 11}, {7, 11}}};
-    const auto second = select_requests(replica, pending, later, start + 1100ms);
+    const auto second = select_requests(replica, pending, later, true, start + 1100ms);
     REQUIRE(second.size() == 1);
     CHECK(second.front().at(index_of(collection::targets)).version == 6);
     // The orders are requested again only after their longer time.
-    CHECK(select_requests(replica, pending, later, start + 2s).size() == 2);
+    CHECK(select_requests(replica, pending, later, true, start + 2s).size() == 2);
     on_answered(pending, {});
-    CHECK(select_requests(replica, pending, later, start).size() == 2);
+    CHECK(select_requests(replica, pending, later, true, start).size() == 2);
+}
+
+TEST_CASE("records: a large configuration is requested from instances with fast links only")
+{
+    // A failure domain of 34: the instance on a slow link that gets a configuration first is asked by no
+    // other.
+    record_replica replica;
+    const record_requests pending;
+    const std::array<record_position, collection_count> peer = {{{5, 10}, {6, 10}, {7, 10}}};
+    const auto from_slow = select_requests(replica, pending, peer, false, time_point{1000s});
+    REQUIRE(from_slow.size() == 1);
+    CHECK(from_slow.front().at(static_cast<std::size_t>(collection::orders)).as_of_s > 1e9);
+    fleet peers;
+    for (const auto& [name, link_mbps] : std::map<std::string, std::uint32_t>{{"slow", 20}, {"fast", 200}}) {
+        instance_status status;
+        status.identity.name = name;
+        status.identity.link_mbps = link_mbps;
+        status.sequence = 1;
+        on_status_received(peers, status, time_point{name == "slow" ? 1002s : 1000s});
+    }
+    CHECK(has_fastest_link(peers, 200, time_point{1000s}));
+    CHECK_FALSE(has_fastest_link(peers, 20, time_point{1000s}));
+    // Without the fast ones the slow ones are asked.
+    CHECK(has_fastest_link(peers, 20, time_point{1002s}));
 }
--- a/packages/edge/src/control_fleet.cpp
+++ b/packages/edge/src/control_fleet.cpp
@@ -26,11 +26,11 @@
 
 // Requests the collections of which the peer has newer copies.
 void request_records(control_state& state, const std::string& address,
-                     const steering::record_positions& positions)
+                     const steering::record_positions& positions, bool has_fast_link)
 {
     const time_point now = boot_now();
     for (const steering::requested_positions& message :
-         steering::select_requests(state.replica, state.pending_requests, positions, now)) {
+         steering::select_requests(state.replica, state.pending_requests, positions, has_fast_link, now)) {
         if (send_to(*state.peers, address, encode_frame(records_request{message}))) {
             steering::on_requested(state.pending_requests, message, now);
         }
@@ -66,8 +66,9 @@
     merge_rollout_progress(state, status.load, status.identity.name, now);
     const std::string address = status.identity.peer_address;
     const steering::record_positions positions = status.positions;
+    const std::uint32_t link_mbps = status.identity.link_mbps;
     if (steering::on_status_received(state.fleet, std::move(status), now)) {
-        request_records(state, address, positions);
+        request_records(state, address, positions, steering::has_fastest_link(state.fleet, link_mbps, now));
     }
     return std::nullopt;
 }
@@ -104,7 +105,7 @@
     const bool should_request =
         steering::is_domain_delegate(state.fleet, now) && (same_region || records_are_stale(state, now));
     if (should_request && !delegates.empty()) {
-        request_records(state, delegates.front().peer_address, positions);
+        request_records(state, delegates.front().peer_address, positions, true);
     }
 }
 
