steering: instances of medium strength read the store soon after a start

Change: the delay grows with the square of the weakness (0.25 s for 0.2 cores, 1 s for 0.1, 0.04 s for 0.5, spread by half), and an instance without records looks every 50 ms, while calls stay 450 ms apart. Test: 'when a fleet starts at once ...' has a bound for 0.2 cores that the earlier delay of 0.5 s broke.

--- a/packages/decision/src/steering/fleet.cpp
+++ b/packages/decision/src/steering/fleet.cpp
@@ -13,8 +13,9 @@
 constexpr std::string_view reader_task = "reader";
 // Time constant of the decay of peak rates: a wave of requests lasts longer than a burst.
 constexpr double peak_rate_period_s = 15;
-// Delay of the first read of the store for one core of speed 1, and its limit.
-constexpr duration one_core_read_delay = std::chrono::milliseconds(100);
+// Delay of the first read of the store for one core of speed 1, and its limit. It grows with the square of
+// the weakness: instances of medium strength may be the strongest of their fleet.
+constexpr duration one_core_read_delay = std::chrono::milliseconds(10);
 constexpr duration max_read_delay = std::chrono::seconds(2);
 
 std::uint64_t task_weight(std::string_view candidate, std::string_view task)
@@ -368,9 +369,12 @@
     // Instances of equal strength start up to half of the delay apart.
     const double spread =
         static_cast<double>(mix_hash(hash_name(own.name), own.incarnation) >> 11U) * 0x1.0p-54;
+    const double weakness = 1000.0 / own.cpu_millicores;
     const double delay_ns =
-        static_cast<double>(one_core_read_delay.count()) * 1000 / own.cpu_millicores * (1 + spread);
-    return std::min(duration(static_cast<std::int64_t>(delay_ns)), max_read_delay);
+        static_cast<double>(one_core_read_delay.count()) * weakness * weakness * (1 + spread);
+    return delay_ns < static_cast<double>(max_read_delay.count())
+               ? duration(static_cast<std::int64_t>(delay_ns))
+               : max_read_delay;
 }
 
 std::vector<instance_contact> ranked_delegates(const domain_summary& summary)
--- a/packages/decision/tests/steering_front_selection_test.cpp
+++ b/packages/decision/tests/steering_front_selection_test.cpp
@@ -152,6 +152,8 @@
     CHECK(latest_strong <= 300ms);
     CHECK(earliest_weak >= latest_strong + 500ms);
     CHECK(delays.size() == 30);
+    // A fleet of equal instances serves its callers soon after all were killed.
+    CHECK(startup_read_delay(make_status("medium", 200).identity) <= 375ms);
     CHECK(startup_read_delay(make_status("unknown", 0).identity) == duration{});
     CHECK(startup_read_delay(make_status("tiny", 1).identity) == 2s);
 }
--- a/packages/edge/src/control_records.cpp
+++ b/packages/edge/src/control_records.cpp
@@ -14,6 +14,8 @@
 // Period of a store reader. A change is in force everywhere about this time plus two status periods after its
 // write.
 constexpr duration store_read_period = std::chrono::milliseconds(450);
+// Period at which an instance without records checks whether it is to read the store.
+constexpr duration startup_read_period = std::chrono::milliseconds(50);
 // Period at which the states of rollouts are read while there is no rollout.
 constexpr duration idle_state_read_period = std::chrono::seconds(3);
 // A domain delegate whose records are unconfirmed for longer than this reads the store itself.
@@ -324,11 +326,12 @@
                                (has_records(state) || records_are_stale(state, now));
         const bool is_delegate_in_need =
             records_are_stale(state, now) && steering::is_domain_delegate(state.fleet, now);
-        if (is_reader || is_delegate_in_need || retry_due) {
+        const bool is_due = now - last_read_at >= store_read_period;
+        if (is_due && (is_reader || is_delegate_in_need || retry_due)) {
             last_read_at = now;
             co_await read_collections(state, states_read_at);
         }
-        timer.expires_after(store_read_period);
+        timer.expires_after(has_records(state) ? store_read_period : startup_read_period);
         boost::system::error_code ignored; // A cancelled wait only ends earlier.
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
