--- a/packages/edge/tests/edge_fixture.hpp
+++ b/packages/edge/tests/edge_fixture.hpp
@@ -118,6 +118,7 @@
     camphorknot::edge::edge_settings settings;
     camphorknot::edge::instance_handle running;
 
+    /// Starts the instance, unless there is no server yet.
     explicit edge_fixture(int server_count = 1)
     {
         standins::put_row(*store, "op", "config", configuration_row(1, one_customer));
@@ -126,7 +127,9 @@
         }
         settings.store = {local_ip(), store->port};
         settings.bounds.retry_allowance = 50;
-        start();
+        if (server_count > 0) {
+            start();
+        }
     }
 
     void choose_ports()
--- /dev/null
+++ b/packages/edge/tests/edge_rollout_test.cpp
@@ -0,0 +1,137 @@
+#include <catch2/catch.hpp>
+
+#include <atomic>
+
+#include "edge_fixture.hpp"
+
+using namespace edge_tests;
+
+namespace {
+
+constexpr double max_exposure = 0.1; ///< Share of the requests that an unproven version may get.
+constexpr std::size_t exposure_slack = 5;
+
+struct versioned_fixture : edge_fixture {
+    versioned_fixture() : edge_fixture(0) {}
+
+    standins::server_standin& add_version(const std::string& id, const std::string& version,
+                                          std::int64_t born_ms, int service_ms)
+    {
+        servers.push_back(standins::start_server(local_ip(), id));
+        servers.back()->service_ms = service_ms;
+        standins::put_row(*store, "servers", id,
+                          standins::server_row("desk",
+                                               local_ip() + ":" + std::to_string(servers.back()->port),
+                                               "rvk-a", version, "ready", 0, born_ms));
+        return *servers.back();
+    }
+
+    void order_rollout(const std::string& version, double time_limit_s)
+    {
+        standins::put_row(*store, "op", "rollout/desk",
+                          R"({"service":"desk","target":")" + version + R"(","duration_s":)" +
+                              std::to_string(time_limit_s) + "}");
+    }
+
+    bool has_rollout_state()
+    {
+        return eventually([&] { return !standins::row_value(*store, "status", "rollout/desk").empty(); });
+    }
+
+    void stop() { running.reset(); }
+};
+
+std::size_t received_count(standins::server_standin& server)
+{
+    return standins::received_requests(server).size();
+}
+
+/// Sends requests one after the other in each of @p callers threads, for @p time.
+/// @param patience after which a caller closes its connection.
+void press(const edge_fixture& fixture, int callers, std::chrono::milliseconds time,
+           std::chrono::milliseconds patience = 5s)
+{
+    const auto end = std::chrono::steady_clock::now() + time;
+    std::atomic<int> next{0};
+    std::vector<std::thread> threads;
+    for (int number = 0; number < callers; ++number) {
+        threads.emplace_back([&] {
+            while (std::chrono::steady_clock::now() < end) {
+                const std::string id = std::to_string(++next);
+                caller connection(fixture.settings.front.port);
+                http::write(connection.stream, make_request(http::verb::get, "/find/" + id, "p" + id));
+                caller_response response;
+                connection.stream.expires_after(patience);
+                boost::system::error_code ended;
+                http::async_read(connection.stream, connection.buffer, response,
+                                 [&](boost::system::error_code error, std::size_t) { ended = error; });
+                connection.context.run();
+                if (!ended && response.result_int() != 200) {
+                    std::this_thread::sleep_for(20ms);
+                }
+            }
+        });
+    }
+    for (std::thread& thread : threads) {
+        thread.join();
+    }
+}
+
+} // namespace
+
+TEST_CASE("edge rollout: a canary keeps its share while requests wait for targets of the old version")
+{
+    versioned_fixture fixture;
+    standins::server_standin& old_server = fixture.add_version("i-1", "v1", 100, 150);
+    fixture.start();
+    standins::server_standin& canary = fixture.add_version("i-2", "v2", 200, 1);
+    fixture.order_rollout("v2", 60);
+    REQUIRE(fixture.has_rollout_state());
+    press(fixture, 24, 6s);
+    const std::size_t total = received_count(old_server) + received_count(canary);
+    CAPTURE(total, received_count(canary));
+    CHECK(total > 50);
+    CHECK(received_count(canary) > 0);
+    CHECK(static_cast<double>(received_count(canary)) <=
+          max_exposure * static_cast<double>(total) + exposure_slack);
+}
+
+TEST_CASE("edge rollout: a version whose slow answers no caller waits for is not promoted")
+{
+    versioned_fixture fixture;
+    standins::server_standin& old_server = fixture.add_version("i-1", "v1", 100, 20);
+    fixture.start();
+    standins::server_standin& canary = fixture.add_version("i-2", "v2", 200, 2000);
+    fixture.order_rollout("v2", 5);
+    REQUIRE(fixture.has_rollout_state());
+    press(fixture, 4, 5500ms, 150ms);
+    const std::size_t total = received_count(old_server) + received_count(canary);
+    CAPTURE(total, received_count(canary));
+    CHECK(total > 50);
+    CHECK(static_cast<double>(received_count(canary)) <=
+          max_exposure * static_cast<double>(total) + exposure_slack);
+    CHECK(standins::row_value(*fixture.store, "status", "rollout/desk").find("completed") ==
+          std::string::npos);
+}
+
+TEST_CASE("edge rollout: an instance that starts before the order does not take the new version for the old")
+{
+    versioned_fixture fixture;
+    standins::server_standin& old_server = fixture.add_version("i-1", "v1", 100, 1);
+    std::vector<standins::server_standin*> canaries;
+    for (const char* id : {"i-2", "i-3", "i-4"}) {
+        canaries.push_back(&fixture.add_version(id, "v2", 200, 1));
+    }
+    fixture.start();
+    fixture.order_rollout("v2", 60);
+    REQUIRE(fixture.has_rollout_state());
+    press(fixture, 2, 1s);
+    std::size_t exposed = 0;
+    for (standins::server_standin* canary : canaries) {
+        exposed += received_count(*canary);
+    }
+    const std::size_t total = received_count(old_server) + exposed;
+    CAPTURE(total, exposed);
+    CHECK(total > 50);
+    CHECK(static_cast<double>(exposed) <= max_exposure * static_cast<double>(total) + exposure_slack);
+}
