rollout: the share of a new version is of received requests, not of searches

Callers saw: a bad version answered far more requests than its trial share while the old targets were busy. Cause: a request that waits for room searches for a target again each time it is woken, and each search drew the version anew. With the old targets full and the new ones idle, n searches led to the new version with probability 1 - 0.94^n. Class: a random share applied to attempts instead of to completed work. Change: a decision of its own, version_split, spreads the error over the requests that targets have received; a search takes no credit, a send to the new version does. Looked for elsewhere: the service of a route with weights is drawn once per request (pick_service); the retry budget counts sends.

--- a/packages/decision/include/camphorknot/steering.hpp
+++ b/packages/decision/include/camphorknot/steering.hpp
@@ -13,4 +13,5 @@
 #include "camphorknot/steering/rollout_pacer.hpp"
 #include "camphorknot/steering/route_table.hpp"
 #include "camphorknot/steering/target_pool.hpp"
+#include "camphorknot/steering/version_split.hpp"
 #include "camphorknot/steering/wait_queue.hpp"
--- a/packages/edge/src/relay.hpp
+++ b/packages/edge/src/relay.hpp
@@ -43,6 +43,9 @@
 /// weight.
 request_plan make_plan(traffic_state& state, const caller_request& request, const steering::route& route);
 
+/// @return which versions of the service may get requests.
+version_rule find_version_rule(const traffic_state& state, const std::string& service);
+
 /// Outcome of the search: a target, or the answer to a request that is refused.
 struct search_outcome {
     steering::placement placement;
--- a/packages/edge/src/relay_search.cpp
+++ b/packages/edge/src/relay_search.cpp
@@ -31,17 +31,23 @@
     return route.services.empty() ? std::string() : route.services.back().service;
 }
 
-version_rule find_version_rule(const traffic_state& state, const std::string& service)
+// The split starts with a random credit, since instances that start it together would otherwise all send to
+// the next version at the same time.
+const steering::version_split& find_version_split(traffic_state& state, const std::string& service)
 {
-    const auto rule = state.view.versions.find(service);
-    return rule == state.view.versions.end() ? version_rule{} : rule->second;
+    const auto found = state.version_splits.find(service);
+    if (found != state.version_splits.end()) {
+        return found->second;
+    }
+    return state.version_splits[service] = {uniform_real(state.random)};
 }
 
 steering::placement choose_placement(traffic_state& state, const caller_request& request,
                                      const request_plan& plan, time_point now)
 {
     const version_rule rule = find_version_rule(state, plan.service);
-    const bool to_next = !rule.next.empty() && uniform_real(state.random) < rule.next_share;
+    const bool to_next = !rule.next.empty() && steering::is_next_version_due(
+                                                   find_version_split(state, plan.service), rule.next_share);
     steering::placement_request criteria;
     criteria.service = plan.service;
     criteria.version = to_next ? rule.next : rule.current;
@@ -106,6 +112,12 @@
 
 } // namespace
 
+version_rule find_version_rule(const traffic_state& state, const std::string& service)
+{
+    const auto rule = state.view.versions.find(service);
+    return rule == state.view.versions.end() ? version_rule{} : rule->second;
+}
+
 duration jittered_pause(traffic_state& state, duration base)
 {
     return base + duration(static_cast<std::int64_t>(static_cast<double>(base.count()) *
--- a/packages/edge/src/relay_send.cpp
+++ b/packages/edge/src/relay_send.cpp
@@ -124,6 +124,10 @@
     const steering::target target = chosen.entry;
     const time_point start = boot_now();
     steering::on_request_sent(state.pool, chosen, plan.object.value_or(plan.random_key), start);
+    const version_rule rule = find_version_rule(state, plan.service);
+    if (!rule.next.empty() && target.version == rule.next) {
+        steering::on_sent_to_next_version(state.version_splits[plan.service]);
+    }
     platform::forward_metadata forwarded;
     forwarded.target = target.id;
     forwarded.customer =
@@ -157,6 +161,9 @@
     wake_waiter_for(state, plan.service, target.id);
     const bool never_ran = result.outcome == exchange_outcome::not_connected || result.metadata.not_run;
     const bool not_received = result.outcome == exchange_outcome::not_connected || result.metadata.replaced;
+    if (!rule.next.empty() && !not_received) {
+        steering::on_request_received(state.version_splits[plan.service], rule.next_share);
+    }
     plan.may_have_run = plan.may_have_run || !never_ran;
     ++(not_received ? plan.connect_failures : plan.send_count);
     plan.tried.push_back(target.id);
--- a/packages/edge/src/traffic.hpp
+++ b/packages/edge/src/traffic.hpp
@@ -75,8 +75,9 @@
     traffic_view view;
     steering::target_pool pool;
     steering::rate_shares rates;
-    std::map<std::string, steering::retry_budget> retry_budgets; ///< By service.
-    std::map<std::string, service_queue> queues;                 ///< By service.
+    std::map<std::string, steering::retry_budget> retry_budgets;   ///< By service.
+    std::map<std::string, service_queue> queues;                   ///< By service.
+    std::map<std::string, steering::version_split> version_splits; ///< By service; those under rollout.
     std::map<count_key, steering::version_counts> counts;
     steering::wait_tuning queue_tuning;
     connection_pool connections;
