rollout: a new version is promoted only on good answers that are counted now

Callers saw: a bad version was sent all requests, and was recorded as completed, though hardly any of its answers had been seen. Cause: the share followed the time alone. Evidence that was missing did not count: slow answers whose callers left first were not counted at all, the counts of instances that restart are lost, and a version that begins to fail during the ramp is diluted by its good answers of the trial. Class: promotion in the absence of a fault report instead of on proof. Change: beyond the share of the canary a version needs 10 good answers over the fleet and no doubt (a smaller difference to the old version than stops it; unanswered requests counted as failing); a late promotion follows the slope of the ramp; a version that does not get all requests at 95% of the time is rolled back. Sent and unanswered requests are counted and logged; new lines rollout_held and rollout_released. An instance that does not see half of the fleet follows the schedule, as before.

--- a/packages/decision/include/camphorknot/steering/rollout_pacer.hpp
+++ b/packages/decision/include/camphorknot/steering/rollout_pacer.hpp
@@ -3,7 +3,9 @@
 /// before the time limit; or an immediate rollback when the new version is found to be failing.
 ///
 /// A version may fail from its start, only later, only under load or only on one route. Its answers are
-/// therefore compared with those of the old version on each route during the whole rollout.
+/// therefore compared with those of the old version on each route during the whole rollout. The share passes
+/// that of the canary only while enough answers of the new version are known to be good: those counted by an
+/// instance that restarts are lost, and slow ones are not counted if their callers leave.
 #pragma once
 
 #include <span>
@@ -25,6 +27,23 @@
     double min_standard_errors = 2.5; ///< Minimum difference in standard errors.
     /// An answer that takes this many times the average time counts as failing.
     double slow_factor = 4;
+    /// Good answers of the new version, over the fleet, that it needs for more than the share of the canary.
+    std::uint64_t min_good_answers = 10;
+    /// Requests that the new version may get without them, so that a service with few requests moves in time.
+    std::uint64_t unproven_requests = 25;
+    /// Time since the start of the run after which the counts show how many requests the service gets.
+    duration min_observation = std::chrono::seconds(3);
+    /// Thresholds of a doubt, which keeps the new version at the share of the canary without stopping it. A
+    /// version that begins to fail during the ramp reaches min_difference late, since its earlier answers
+    /// were good.
+    std::uint64_t min_doubtful_answers = 3;
+    double min_doubtful_difference = 0.04;
+    double min_doubtful_standard_errors = 3;
+    /// The same, if requests whose callers left count as failing, which they may do for other reasons.
+    double min_unanswered_difference = 0.15;
+    double min_unanswered_standard_errors = 1.5;
+    /// Fraction of the time limit at which a version that does not get all requests is rolled back.
+    double abandon_fraction = 0.95;
 };
 
 /// State of one rollout at this instance.
@@ -35,6 +54,9 @@
     time_point peer_elapsed_at{};
     bool stopped = false;   ///< The new version was found to be failing.
     double share = 0;       ///< Share of this instance's traffic that the new version gets.
+    time_point share_at{};  ///< When `share` was updated.
+    double peer_share = 0;  ///< Smallest share at the other instances.
+    bool held = false;      ///< Kept at the share of the canary for lack of good answers.
     time_point moved_at{};  ///< When the share reached 1 at this instance.
     time_point due_since{}; ///< When `due_state` became due to be recorded; zero if nothing is due.
     rollout_state due_state = rollout_state::running;
@@ -51,6 +73,21 @@
 double new_version_share(const rollout_run& run, const rollout_tuning& tuning, bool has_new_targets,
                          time_point now);
 
+/// @param observed time since this instance started the run.
+/// @return whether the new version may get more than the share of the canary.
+bool may_promote(std::span<const version_counts> counts, const rollout_order& order,
+                 const rollout_tuning& tuning, duration observed);
+
+/// @param scheduled result of new_version_share.
+/// @param promoted result of may_promote.
+/// @return the share after @p scheduled is limited to that of the canary, unless @p promoted, and its
+/// increase to that of the schedule: a version that is promoted late is not sent all requests at once.
+double limit_share(const rollout_run& run, const rollout_tuning& tuning, double scheduled, bool promoted,
+                   time_point now);
+
+/// @return whether the new version does not get all requests although its time is nearly over.
+bool is_out_of_time(const rollout_run& run, const rollout_tuning& tuning, time_point now);
+
 /// State to record in the store next, if any.
 enum class rollout_step : std::uint8_t { none, record_running, record_completed, record_rolled_back };
 
--- a/packages/decision/src/steering/fleet.cpp
+++ b/packages/decision/src/steering/fleet.cpp
@@ -98,6 +98,8 @@
         [](auto& sum, const auto& counts) {
             sum.answers += counts.answers;
             sum.failing_answers += counts.failing_answers;
+            sum.unanswered += counts.unanswered;
+            sum.sent += counts.sent;
         });
 }
 
--- a/packages/decision/src/steering/rollout_pacer.cpp
+++ b/packages/decision/src/steering/rollout_pacer.cpp
@@ -22,9 +22,15 @@
     return duration(static_cast<std::int64_t>(static_cast<double>(time.count()) * fraction));
 }
 
-bool is_worse(const sample& new_version, const sample& old_version, const rollout_tuning& tuning)
+struct comparison_thresholds {
+    std::uint64_t min_failing_answers = 0;
+    double min_difference = 0;
+    double min_standard_errors = 0;
+};
+
+bool is_worse(const sample& new_version, const sample& old_version, const comparison_thresholds& thresholds)
 {
-    if (new_version.failing_answers < static_cast<double>(tuning.min_failing_answers)) {
+    if (new_version.failing_answers < static_cast<double>(thresholds.min_failing_answers)) {
         return false;
     }
     const double difference = failing_fraction(new_version) - failing_fraction(old_version);
@@ -33,7 +39,27 @@
                           (new_version.answers + old_version.answers + 2);
     const double error =
         std::sqrt(pooled * (1 - pooled) * (1 / (new_version.answers + 1) + 1 / (old_version.answers + 1)));
-    return difference >= tuning.min_difference && difference >= tuning.min_standard_errors * error;
+    return difference >= thresholds.min_difference && difference >= thresholds.min_standard_errors * error;
+}
+
+// Whether the new version is worse than the old one on any route.
+bool is_worse_on_any_route(std::span<const version_counts> counts, const rollout_order& order,
+                           const comparison_thresholds& thresholds, bool unanswered_is_failing)
+{
+    std::map<std::string_view, std::pair<sample, sample>> by_route; // New and old version.
+    for (const version_counts& entry : counts) {
+        if (entry.service != order.service) {
+            continue;
+        }
+        auto& [new_version, old_version] = by_route[entry.route];
+        sample& counted = entry.version == order.version ? new_version : old_version;
+        const std::uint64_t unanswered = unanswered_is_failing ? entry.unanswered : 0;
+        counted.answers += static_cast<double>(entry.answers + unanswered);
+        counted.failing_answers += static_cast<double>(entry.failing_answers + unanswered);
+    }
+    return std::ranges::any_of(by_route, [&](const auto& entry) {
+        return is_worse(entry.second.first, entry.second.second, thresholds);
+    });
 }
 
 } // namespace
@@ -48,19 +74,54 @@
 bool is_failing_version(std::span<const version_counts> counts, const rollout_order& order,
                         const rollout_tuning& tuning)
 {
-    std::map<std::string_view, std::pair<sample, sample>> by_route; // New and old version.
-    for (const version_counts& counts_entry : counts) {
-        if (counts_entry.service != order.service) {
-            continue;
+    return is_worse_on_any_route(
+        counts, order, {tuning.min_failing_answers, tuning.min_difference, tuning.min_standard_errors},
+        false);
+}
+
+bool may_promote(std::span<const version_counts> counts, const rollout_order& order,
+                 const rollout_tuning& tuning, duration observed)
+{
+    const comparison_thresholds doubtful = {tuning.min_doubtful_answers, tuning.min_doubtful_difference,
+                                            tuning.min_doubtful_standard_errors};
+    const comparison_thresholds unanswered = {tuning.min_doubtful_answers, tuning.min_unanswered_difference,
+                                              tuning.min_unanswered_standard_errors};
+    if (is_worse_on_any_route(counts, order, doubtful, false) ||
+        is_worse_on_any_route(counts, order, unanswered, true)) {
+        return false;
+    }
+    std::uint64_t good_answers = 0;
+    std::uint64_t sent = 0;
+    for (const version_counts& entry : counts) {
+        if (entry.service == order.service && entry.version == order.version) {
+            good_answers += entry.answers - std::min(entry.answers, entry.failing_answers);
+            sent += entry.sent;
         }
-        auto& [new_version, old_version] = by_route[counts_entry.route];
-        sample& counted = counts_entry.version == order.version ? new_version : old_version;
-        counted.answers += static_cast<double>(counts_entry.answers);
-        counted.failing_answers += static_cast<double>(counts_entry.failing_answers);
     }
-    return std::ranges::any_of(by_route, [&](const auto& entry) {
-        return is_worse(entry.second.first, entry.second.second, tuning);
-    });
+    const bool gets_few_requests = sent < tuning.unproven_requests && observed >= tuning.min_observation;
+    return good_answers >= tuning.min_good_answers || gets_few_requests;
+}
+
+double limit_share(const rollout_run& run, const rollout_tuning& tuning, double scheduled, bool promoted,
+                   time_point now)
+{
+    const double allowed = promoted ? scheduled : std::min(scheduled, tuning.trial_share);
+    const double start = std::max({run.share, run.peer_share, tuning.trial_share});
+    const duration ramp_time =
+        scaled(run.order.time_limit, tuning.ramp_end_fraction - tuning.trial_end_fraction);
+    const duration elapsed = run.share_at == time_point{} ? duration{} : now - run.share_at;
+    if (elapsed >= ramp_time) {
+        return allowed;
+    }
+    const double increase = (1 - tuning.trial_share) * std::chrono::duration<double>(elapsed).count() /
+                            std::chrono::duration<double>(ramp_time).count();
+    return std::min(allowed, start + increase);
+}
+
+bool is_out_of_time(const rollout_run& run, const rollout_tuning& tuning, time_point now)
+{
+    return run.share < 1 && run.order.time_limit > duration{} &&
+           elapsed_of(run, now) >= scaled(run.order.time_limit, tuning.abandon_fraction);
 }
 
 double new_version_share(const rollout_run& run, const rollout_tuning& tuning, bool has_new_targets,
--- a/packages/decision/tests/steering_rollout_test.cpp
+++ b/packages/decision/tests/steering_rollout_test.cpp
@@ -21,7 +21,7 @@
 version_counts make_counts(const std::string& version, const std::string& route, std::uint64_t answers,
                            std::uint64_t failing_answers)
 {
-    return {"catalogue", version, route, answers, failing_answers};
+    return {"catalogue", version, route, answers, failing_answers, 0, answers};
 }
 
 } // namespace
@@ -160,3 +160,85 @@
     remove_waiting(queue, 3);
     CHECK(queue.requests.front().id == 2);
 }
+
+namespace {
+
+version_counts make_sends(const std::string& version, std::uint64_t answers, std::uint64_t failing_answers,
+                          std::uint64_t unanswered)
+{
+    return {"catalogue", version, "find", answers, failing_answers, unanswered, answers + unanswered};
+}
+
+} // namespace
+
+TEST_CASE("rollout pacer: a version without enough good answers keeps the share of the canary")
+{
+    const rollout_tuning tuning;
+    rollout_run run = make_run();
+    run.share = tuning.trial_share;
+    run.share_at = start + 11s;
+    // The counts of an instance that restarted a second ago.
+    const std::vector<version_counts> counts = {make_sends("v1", 40, 0, 0), make_sends("v2", 3, 0, 0)};
+    const bool promoted = may_promote(counts, run.order, tuning, 1s);
+    CHECK_FALSE(promoted);
+    const double scheduled = new_version_share(run, tuning, true, start + 12s);
+    CHECK(scheduled == 1);
+    CHECK(limit_share(run, tuning, scheduled, promoted, start + 12s) == tuning.trial_share);
+}
+
+TEST_CASE("rollout pacer: callers that leave before the new version answers keep it from being promoted")
+{
+    const rollout_tuning tuning;
+    const rollout_run run = make_run();
+    // Half of the new version's answers are slow; their callers leave and the other half looks good.
+    const std::vector<version_counts> counts = {make_sends("v1", 300, 3, 100), make_sends("v2", 14, 0, 26)};
+    CHECK_FALSE(is_failing_version(counts, run.order, tuning));
+    CHECK_FALSE(may_promote(counts, run.order, tuning, 8s));
+    const std::vector<version_counts> equal = {make_sends("v1", 300, 3, 100), make_sends("v2", 30, 0, 10)};
+    CHECK(may_promote(equal, run.order, tuning, 8s));
+}
+
+TEST_CASE("rollout pacer: a service with few requests is moved without many answers")
+{
+    const rollout_tuning tuning;
+    const rollout_run run = make_run();
+    const std::vector<version_counts> counts = {make_sends("v1", 20, 0, 0), make_sends("v2", 2, 0, 0)};
+    CHECK(may_promote(counts, run.order, tuning, 8s));
+    CHECK_FALSE(may_promote(counts, run.order, tuning, 1s));
+}
+
+TEST_CASE("rollout pacer: a version that is promoted late is not sent all requests at once")
+{
+    const rollout_tuning tuning;
+    rollout_run run = make_run();
+    run.share = tuning.trial_share;
+    run.share_at = start + 12s;
+    const double share = limit_share(run, tuning, 1, true, start + 12200ms);
+    CHECK(share > tuning.trial_share);
+    CHECK(share < 0.2);
+    // An instance that starts then continues at the others' share.
+    run.peer_share = 0.7;
+    CHECK(limit_share(run, tuning, 1, true, start + 12200ms) >= 0.7);
+}
+
+TEST_CASE("rollout pacer: a version that does not get all requests is rolled back before its time is over")
+{
+    const rollout_tuning tuning;
+    rollout_run run = make_run();
+    run.share = tuning.trial_share;
+    CHECK_FALSE(is_out_of_time(run, tuning, start + 15s));
+    CHECK(is_out_of_time(run, tuning, start + 15500ms));
+    run.share = 1;
+    CHECK_FALSE(is_out_of_time(run, tuning, start + 15500ms));
+}
+
+TEST_CASE("rollout pacer: a version that begins to fail during the ramp is held back before it is stopped")
+{
+    const rollout_tuning tuning;
+    const rollout_run run = make_run();
+    const std::vector<version_counts> counts = {make_sends("v1", 860, 2, 0), make_sends("v2", 64, 4, 0)};
+    CHECK_FALSE(is_failing_version(counts, run.order, tuning));
+    CHECK_FALSE(may_promote(counts, run.order, tuning, 10s));
+    const std::vector<version_counts> noisy = {make_sends("v1", 860, 26, 0), make_sends("v2", 64, 4, 0)};
+    CHECK(may_promote(noisy, run.order, tuning, 10s));
+}
--- a/packages/edge/src/control_rollouts.cpp
+++ b/packages/edge/src/control_rollouts.cpp
@@ -169,33 +169,78 @@
     }
 }
 
-std::string describe_counts(std::span<const steering::version_counts> counts, const std::string& service)
+// The sums of two counts by version and route, in the form "v2/find=first/second".
+std::string describe_counts(std::span<const steering::version_counts> counts, const std::string& service,
+                            std::uint64_t steering::version_counts::*first,
+                            std::uint64_t steering::version_counts::*second)
 {
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> sums;
     for (const steering::version_counts& count : counts) {
         if (count.service == service) {
-            auto& [answers, failing] = sums[count.version + "/" + count.route];
-            answers += count.answers;
-            failing += count.failing_answers;
+            auto& [first_sum, second_sum] = sums[count.version + "/" + count.route];
+            first_sum += count.*first;
+            second_sum += count.*second;
         }
     }
     std::string text;
     for (const auto& [key, sum] : sums) {
-        text += (text.empty() ? "" : " ") + key + "=" + std::to_string(sum.second) + "/" +
-                std::to_string(sum.first);
+        text += (text.empty() ? "" : " ") + key + "=" + std::to_string(sum.first) + "/" +
+                std::to_string(sum.second);
     }
     return text;
 }
 
-void stop_run(steering::rollout_run& run, std::string_view cause, const std::string& inputs)
+// Logs a step of a rollout with the counts that it was decided on.
+void log_rollout_step(log_severity severity, std::string_view event, const steering::rollout_run& run,
+                      std::string_view cause, std::span<const steering::version_counts> counts)
 {
-    run.stopped = true;
-    run.share = 0;
-    log_event(log_severity::warning, "rollout_stopped",
-              {{"service", run.order.service},
+    using steering::version_counts;
+    const std::string& service = run.order.service;
+    log_event(severity, event,
+              {{"service", service},
                {"version", run.order.version},
                {"cause", std::string(cause)},
-               {"bad_of_answers", inputs}});
+               {"bad_of_answers",
+                describe_counts(counts, service, &version_counts::failing_answers, &version_counts::answers)},
+               {"unanswered_of_sent",
+                describe_counts(counts, service, &version_counts::unanswered, &version_counts::sent)}});
+}
+
+void stop_run(steering::rollout_run& run, std::string_view cause,
+              std::span<const steering::version_counts> counts)
+{
+    run.stopped = true;
+    run.share = 0;
+    log_rollout_step(log_severity::warning, "rollout_stopped", run, cause, counts);
+}
+
+// Updates the share of the new version. An instance that does not see the fleet has too few answers to go by
+// and follows the schedule alone.
+void update_share(control_state& state, steering::rollout_run& run,
+                  std::span<const steering::version_counts> counts, time_point now)
+{
+    const steering::rollout_tuning tuning;
+    const bool sees_fleet = steering::sees_half_of_fleet(state.fleet, now);
+    const bool promoted =
+        !sees_fleet || steering::may_promote(counts, run.order, tuning, now - run.first_seen);
+    const double scheduled = steering::new_version_share(
+        run, tuning, has_targets(state, run.order.service, run.order.version), now);
+    const double previous_share = run.share;
+    run.share = steering::limit_share(run, tuning, scheduled, promoted, now);
+    run.share_at = now;
+    const bool held = !promoted && scheduled > tuning.trial_share;
+    if (held != run.held) {
+        run.held = held;
+        log_rollout_step(log_severity::info, held ? "rollout_held" : "rollout_released", run, "good_answers",
+                         counts);
+    }
+    if (run.share >= 1 && previous_share < 1) {
+        run.moved_at = now;
+        log_rollout_step(log_severity::info, "rollout_moved", run, "schedule", counts);
+    }
+    if (sees_fleet && !run.stopped && steering::is_out_of_time(run, tuning, now)) {
+        stop_run(run, "not_proven_in_time", counts);
+    }
 }
 
 asio::awaitable<void> write_rollout_state(control_state& state, steering::rollout_order order,
@@ -254,18 +299,11 @@
 {
     const steering::rollout_tuning tuning;
     if (!run.stopped && steering::is_failing_version(counts, run.order, tuning)) {
-        stop_run(run, "bad_answers", describe_counts(counts, run.order.service));
-    }
-    const double previous_share = run.share;
-    run.share = steering::new_version_share(run, tuning,
-                                            has_targets(state, run.order.service, run.order.version), now);
-    if (run.share >= 1 && previous_share < 1) {
-        run.moved_at = now;
-        log_event(
-            log_severity::info, "rollout_moved",
-            {{"service", run.order.service}, {"bad_of_answers", describe_counts(counts, run.order.service)}});
+        stop_run(run, "bad_answers", counts);
     }
     const steering::rollout_progress* reported = progress_in(others, run.order);
+    run.peer_share = reported == nullptr ? 0 : reported->share;
+    update_share(state, run, counts, now);
     const std::uint64_t old_in_flight =
         own_old_in_flight(state, run.order) + (reported == nullptr ? 0 : reported->old_in_flight);
     const bool all_others_ready =
@@ -326,7 +364,7 @@
             run.peer_elapsed_at = now;
         }
         if (reported->stopped && !run.stopped) {
-            stop_run(run, "told_by_" + std::string(source), "");
+            stop_run(run, "told_by_" + std::string(source), {});
         }
     }
 }
--- a/packages/edge/src/peer_codec.cpp
+++ b/packages/edge/src/peer_codec.cpp
@@ -27,7 +27,8 @@
 }
 auto peer_fields(const_or_mutable<version_counts> auto& value)
 {
-    return std::tie(value.service, value.version, value.route, value.answers, value.failing_answers);
+    return std::tie(value.service, value.version, value.route, value.answers, value.failing_answers,
+                    value.unanswered, value.sent);
 }
 auto peer_fields(const_or_mutable<rollout_progress> auto& value)
 {
@@ -71,6 +72,8 @@
 constexpr std::size_t required_fields<instance_contact> = 6;
 template <>
 constexpr std::size_t required_fields<load_report> = 4;
+template <>
+constexpr std::size_t required_fields<version_counts> = 5;
 
 template <typename T>
 concept peer_struct = requires(T& value)
--- a/packages/edge/src/relay_send.cpp
+++ b/packages/edge/src/relay_send.cpp
@@ -39,24 +39,36 @@
                                                : steering::target_outcome::success;
 }
 
+steering::version_counts& counts_of(traffic_state& state, const request_plan& plan,
+                                    const steering::target& target)
+{
+    const count_key key{plan.service, target.version, plan.route->name};
+    steering::version_counts& counted = state.counts[key];
+    if (counted.service.empty()) {
+        counted.service = plan.service;
+        counted.version = target.version;
+        counted.route = plan.route->name;
+    }
+    return counted;
+}
+
 void count_version_answer(traffic_state& state, const request_plan& plan, const steering::target& target,
                           steering::target_outcome outcome, duration service_time)
 {
-    if (outcome == steering::target_outcome::abandoned || outcome == steering::target_outcome::shed ||
-        outcome == steering::target_outcome::replaced) {
+    if (outcome == steering::target_outcome::shed || outcome == steering::target_outcome::replaced) {
         return;
     }
-    const count_key key{plan.service, target.version, plan.route->name};
-    steering::version_counts& counted = state.counts[key];
-    counted.service = plan.service;
-    counted.version = target.version;
-    counted.route = plan.route->name;
-    ++counted.answers;
+    steering::version_counts& counted = counts_of(state, plan, target);
     const steering::rollout_tuning tuning;
     const duration average = state.pool.profiles[plan.service].miss;
     const bool slow =
         service_time >
         duration(static_cast<std::int64_t>(static_cast<double>(average.count()) * tuning.slow_factor));
+    if (outcome == steering::target_outcome::abandoned && !slow) {
+        ++counted.unanswered;
+        return;
+    }
+    ++counted.answers;
     counted.failing_answers += slow || outcome != steering::target_outcome::success ? 1 : 0;
 }
 
@@ -124,6 +136,7 @@
     const steering::target target = chosen.entry;
     const time_point start = boot_now();
     steering::on_request_sent(state.pool, chosen, plan.object.value_or(plan.random_key), start);
+    ++counts_of(state, plan, target).sent;
     const version_rule rule = find_version_rule(state, plan.service);
     if (!rule.next.empty() && target.version == rule.next) {
         steering::on_sent_to_next_version(state.version_splits[plan.service]);
