rollout: an instance that starts during a rollout does not take the new version for the old one

Callers saw: all requests of an instance answered by the version under rollout. Cause: without a known order the version with most targets was taken as the current one, ties by name, and kept for the life of the process, also when the order arrived that named it as the new version. An instance meets this when it starts while the store does not hold the order (it returned from an old copy) or while old targets are fewer. Class: a guess at the start that later facts don't correct. Change: the version of the target that has run longest is the current one, draining targets last; it is chosen again when an order names it as the version under rollout.

--- a/packages/decision/include/camphorknot/steering/rollout_pacer.hpp
+++ b/packages/decision/include/camphorknot/steering/rollout_pacer.hpp
@@ -88,6 +88,14 @@
 /// @return whether the new version does not get all requests although its time is nearly over.
 bool is_out_of_time(const rollout_run& run, const rollout_tuning& tuning, time_point now);
 
+/// The version that gets the requests of a service whose rollouts are not known. The targets of a new version
+/// start beside those of the old one, so the version of the target that has run longest is the old one.
+/// @param targets of all services; draining ones count only if there are no others.
+/// @param excluded version under rollout; empty for none.
+/// @return empty if there is no target of another version.
+std::string longest_running_version(std::span<const target> targets, std::string_view service,
+                                    std::string_view excluded);
+
 /// State to record in the store next, if any.
 enum class rollout_step : std::uint8_t { none, record_running, record_completed, record_rolled_back };
 
--- a/packages/decision/src/steering/rollout_pacer.cpp
+++ b/packages/decision/src/steering/rollout_pacer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace camphorknot::steering {
 namespace {
@@ -141,6 +142,24 @@
     return std::min(1.0, tuning.trial_share + (1 - tuning.trial_share) * ramp_progress);
 }
 
+std::string longest_running_version(std::span<const target> targets, std::string_view service,
+                                    std::string_view excluded)
+{
+    const target* longest_running = nullptr;
+    for (const target& candidate : targets) {
+        if (candidate.service != service || candidate.version == excluded) {
+            continue;
+        }
+        const auto order_of = [](const target& entry) {
+            return std::tuple(entry.draining, entry.born_ms, std::string_view(entry.version));
+        };
+        if (longest_running == nullptr || order_of(candidate) < order_of(*longest_running)) {
+            longest_running = &candidate;
+        }
+    }
+    return longest_running == nullptr ? std::string() : longest_running->version;
+}
+
 rollout_step next_step(const rollout_run& run, const rollout_tuning& tuning,
                        std::optional<rollout_state> recorded, std::uint64_t old_in_flight,
                        bool all_instances_moved, time_point now)
--- a/packages/decision/tests/steering_rollout_test.cpp
+++ b/packages/decision/tests/steering_rollout_test.cpp
@@ -242,3 +242,23 @@
     const std::vector<version_counts> noisy = {make_sends("v1", 860, 26, 0), make_sends("v2", 64, 4, 0)};
     CHECK(may_promote(noisy, run.order, tuning, 10s));
 }
+
+TEST_CASE("rollout pacer: the version of the target that has run longest is taken for the current one")
+{
+    const auto make_target = [](const std::string& id, const std::string& version, std::int64_t born_ms,
+                                bool draining) {
+        target entry;
+        entry.id = id;
+        entry.service = "catalogue";
+        entry.version = version;
+        entry.born_ms = born_ms;
+        entry.draining = draining;
+        return entry;
+    };
+    std::vector<target> targets = {make_target("a", "v9", 5000, false), make_target("b", "v10", 9000, false),
+                                   make_target("c", "v10", 9000, false), make_target("d", "v8", 100, true)};
+    CHECK(longest_running_version(targets, "catalogue", "") == "v9");
+    CHECK(longest_running_version(targets, "catalogue", "v9") == "v10");
+    CHECK(longest_running_version(targets, "sealdesk", "").empty());
+    CHECK(longest_running_version(std::span(targets).last(1), "catalogue", "") == "v8");
+}
--- a/packages/edge/src/control_rollouts.cpp
+++ b/packages/edge/src/control_rollouts.cpp
@@ -48,28 +48,33 @@
     return false;
 }
 
-std::string most_common_version(const control_state& state, std::string_view service,
-                                std::string_view excluded)
+std::string find_old_version(const control_state& state, const std::string& service)
 {
-    std::map<std::string, std::size_t> target_counts;
+    const auto order = state.rollout_orders.find(service);
+    std::vector<steering::target> targets;
     for (const auto& [id, target] : state.targets) {
-        if (target.service == service && target.version != excluded) {
-            ++target_counts[target.version];
+        if (target.service == service) {
+            targets.push_back(target);
         }
     }
-    std::string most_common;
-    std::size_t max_count = 0;
-    for (const auto& [version, count] : target_counts) {
-        if (count > max_count) {
-            max_count = count;
-            most_common = version;
-        }
-    }
-    return most_common;
+    return steering::longest_running_version(
+        targets, service, order == state.rollout_orders.end() ? "" : order->second.version);
+}
+
+// Whether the version is under rollout or was rolled back, as far as the order is known.
+bool is_unproven_version(const control_state& state, const std::string& service, const std::string& version)
+{
+    const auto order = state.rollout_orders.find(service);
+    const auto recorded = state.rollout_states.find(service);
+    const bool completed = recorded != state.rollout_states.end() &&
+                           recorded->second.state == steering::rollout_state::completed &&
+                           recorded->second.version == version;
+    return order != state.rollout_orders.end() && order->second.version == version && !completed;
 }
 
-// The version that gets a service's requests outside of a rollout. It changes only when a rollout completes,
-// so that targets of a new version get no requests before their rollout order arrives.
+// The version that gets a service's requests outside of a rollout. It changes when a rollout completes, so
+// that targets of a new version get no requests before their rollout order arrives, and when an order that
+// arrives after the targets shows that the assumed version is the new one.
 std::string current_version(control_state& state, const std::string& service)
 {
     const auto recorded = state.rollout_states.find(service);
@@ -78,10 +83,9 @@
         state.current_versions[service] = recorded->second.version;
     }
     std::string& current = state.current_versions[service];
-    if (current.empty()) {
-        const auto order = state.rollout_orders.find(service);
-        current = most_common_version(state, service,
-                                      order == state.rollout_orders.end() ? "" : order->second.version);
+    if (current.empty() || is_unproven_version(state, service, current)) {
+        const std::string old_version = find_old_version(state, service);
+        current = old_version.empty() ? current : old_version;
     }
     return current;
 }
