steering: the limit that a target names is kept by the whole fleet

Callers saw: a target in need was sent as many requests as before, up to twice what it had asked for, while others had room. Cause: the header was not known; each instance kept to its own estimate of load, in which a target that answers fast and reports free slots is attractive. Class: a limit on the sum over all instances that no instance accounts for. Change: an instance stops at once when an answer names a limit; what it was told goes to the others with its status, by age and incarnation. The first 1 + limit instances in the target's rendezvous order (those that get callers) each send an equal part of three quarters of it; others send nothing. An instance that does not see half of the fleet sends nothing. A request that finds only limited targets waits for the first part that comes in time, else it is refused at once (targets_limited). Unreadable headers are counted and ignored.

--- a/packages/client/src/explain.cpp
+++ b/packages/client/src/explain.cpp
@@ -115,6 +115,10 @@
         return "Service " + service + " had no free slot: utilization " + field(refusal, "utilization") +
                ", " + field(refusal, "waiting") + " requests waiting.";
     }
+    if (reason == "targets_limited") {
+        return "The usable targets of service " + service +
+               " name limits, and this instance's part of them was used up.";
+    }
     if (reason == "no_target" && send != nullptr) {
         const bool refused = field(*send, "not_run") == "true";
         return (refused ? "The request was refused by " + target + " without running it"
--- a/packages/decision/include/camphorknot/steering/fleet.hpp
+++ b/packages/decision/include/camphorknot/steering/fleet.hpp
@@ -11,6 +11,7 @@
 
 #include "camphorknot/steering/model.hpp"
 #include "camphorknot/steering/record_replica.hpp"
+#include "camphorknot/steering/target_notices.hpp"
 
 namespace camphorknot::steering {
 
@@ -66,6 +67,7 @@
     std::vector<rollout_progress> rollouts{};
     std::vector<version_counts> counts{};
     float requests_per_s = 0; ///< Received from callers.
+    std::vector<target_notice> notices{};
 };
 
 /// Replication position of each collection, indexed by `collection`.
@@ -211,6 +213,11 @@
 
 task_candidates live_candidates(const fleet& peers, time_point now);
 
+/// @return number of candidates that precede this instance in the rendezvous hashing order of the task @p
+/// name; empty if it is no candidate.
+std::optional<std::size_t> candidate_rank(const fleet& peers, const task_candidates& candidates,
+                                          std::string_view name);
+
 /// Rendezvous hashing of many tasks over one list of candidates.
 /// @param candidates from live_candidates.
 /// @return whether the task @p name is assigned to this instance.
--- a/packages/decision/include/camphorknot/steering/target_pool.hpp
+++ b/packages/decision/include/camphorknot/steering/target_pool.hpp
@@ -60,9 +60,9 @@
     time_point last_completion{};
 };
 
-/// Token bucket for the requests of this instance to a cold target.
-struct cold_allowance {
-    double rate = 0; ///< Requests per second while the target is cold; zero for no limit.
+/// Token bucket for the requests of this instance to one target.
+struct send_allowance {
+    double rate = 0; ///< Requests per second.
     double tokens = 0;
     time_point refilled{};
 };
@@ -83,7 +83,9 @@
     bool suspended_for_shedding = false; ///< The last failure before the suspension was a shed request.
     time_point cold_until{};
     bool is_warmup_owner = false; ///< Only this instance may send to the target while it is cold.
-    cold_allowance allowance;
+    send_allowance allowance;     ///< While the target is cold; a rate of zero is no limit.
+    bool is_limited = false;      ///< The target names a limit; its allowance is this instance's part.
+    send_allowance limit;
     std::unordered_map<std::uint64_t, time_point>
         objects; ///< Last time that this instance sent an object, by its hash.
 };
@@ -137,6 +139,7 @@
     duration expected_wait{};                ///< In the target's queue.
     const target_state* preferred = nullptr; ///< The target of the first rank, also if it has no capacity.
     room_estimate preferred_room{};          ///< Of that target; zero if it has capacity.
+    bool limited = false; ///< Full because all usable targets name limits, whose parts here are used up.
 };
 
 /// Replaces the set of targets. State is kept for unchanged incarnations; removed targets are dropped once
@@ -156,6 +159,10 @@
 std::vector<region_share> compute_region_shares(const std::map<std::string, double>& slots,
                                                 const std::string& own, std::size_t regions);
 
+/// Limits the requests of this instance to a target that names a limit.
+/// @param per_s this instance's part of the limit; empty if the target names none.
+void set_named_limit(target_state& state, std::optional<double> per_s, time_point now);
+
 /// Selects the target with the lowest expected cost.
 placement choose_target(target_pool& pool, const placement_request& request, time_point now);
 
--- a/packages/decision/src/steering/fleet.cpp
+++ b/packages/decision/src/steering/fleet.cpp
@@ -68,6 +68,7 @@
     std::map<std::string, target_in_flight> in_flight;
     std::map<std::pair<std::string, std::uint64_t>, rollout_progress> rollouts;
     std::map<std::tuple<std::string, std::string, std::string>, version_counts> counts;
+    std::map<std::string, target_notice> notices;
     float requests_per_s = 0;
 };
 
@@ -101,12 +102,19 @@
             sum.unanswered += counts.unanswered;
             sum.sent += counts.sent;
         });
+    add_all(
+        sums.notices, std::span(report.notices), [](const auto& notice) { return notice.target; },
+        [](auto& newest, const auto& notice) {
+            const bool is_newer =
+                notice.born_ms != newest.born_ms ? notice.born_ms > newest.born_ms : notice.age < newest.age;
+            newest = is_newer ? notice : newest;
+        });
 }
 
 load_report to_report(const report_sums& sums)
 {
     return {values_of(sums.demands), values_of(sums.in_flight), values_of(sums.rollouts),
-            values_of(sums.counts), sums.requests_per_s};
+            values_of(sums.counts),  sums.requests_per_s,       values_of(sums.notices)};
 }
 
 void on_instance_seen(fleet& peers, const std::string& name, time_point now)
@@ -338,13 +346,21 @@
     return candidates;
 }
 
-bool is_assigned(const fleet& peers, const task_candidates& candidates, std::string_view name)
+std::optional<std::size_t> candidate_rank(const fleet& peers, const task_candidates& candidates,
+                                          std::string_view name)
 {
+    if (!candidates.has_own) {
+        return std::nullopt;
+    }
     const std::uint64_t task = hash_name(name);
     const std::uint64_t own = mix_hash(hash_name(peers.own.name), task);
-    return candidates.has_own && std::ranges::none_of(candidates.others, [&](std::uint64_t other) {
-               return mix_hash(other, task) > own;
-           });
+    return static_cast<std::size_t>(std::ranges::count_if(
+        candidates.others, [&](std::uint64_t other) { return mix_hash(other, task) > own; }));
+}
+
+bool is_assigned(const fleet& peers, const task_candidates& candidates, std::string_view name)
+{
+    return candidate_rank(peers, candidates, name) == 0U;
 }
 
 std::string find_rate_owner(const fleet& peers, std::string_view customer, time_point now)
--- a/packages/decision/src/steering/target_pool.cpp
+++ b/packages/decision/src/steering/target_pool.cpp
@@ -15,10 +15,12 @@
 constexpr double max_slowness = 20;
 // Time constant of the smoothed completion rate.
 constexpr double rate_period_s = 2;
-// Burst of the cold limit, and the fraction of its rate that is used: while the fleet changes, two instances
-// may both act as the warm-up owner of a target.
-constexpr double cold_burst = 1;
+// Burst of an allowance, and the fraction of the cold limit's rate that is used: while the fleet changes, two
+// instances may both act as the warm-up owner of a target.
+constexpr double allowed_burst = 1;
 constexpr double cold_rate_fraction = 0.75;
+// Stands for the time to the next request if this instance has no part of a limit.
+constexpr duration max_room_delay = std::chrono::seconds(60);
 
 bool is_allowed(std::span<const std::string> regions, const std::string& region)
 {
@@ -35,10 +37,10 @@
     return now < state.cold_until;
 }
 
-double refilled_tokens(const cold_allowance& allowance, time_point now)
+double refilled_tokens(const send_allowance& allowance, time_point now)
 {
     const double elapsed = std::chrono::duration<double>(now - allowance.refilled).count();
-    return std::min(cold_burst, allowance.tokens + elapsed * allowance.rate);
+    return std::min(allowed_burst, allowance.tokens + elapsed * allowance.rate);
 }
 
 bool cold_limit_allows(const target_state& state, time_point now)
@@ -49,6 +51,25 @@
     return state.is_warmup_owner && refilled_tokens(state.allowance, now) >= 1;
 }
 
+bool named_limit_allows(const target_state& state, time_point now)
+{
+    return !state.is_limited || refilled_tokens(state.limit, now) >= 1;
+}
+
+// Until this instance may send a request to a target that names a limit, and between such requests.
+room_estimate room_within_limit(const target_state& state, time_point now)
+{
+    if (state.limit.rate <= 0) {
+        return {max_room_delay, max_room_delay};
+    }
+    const double missing = std::max(0.0, 1 - refilled_tokens(state.limit, now));
+    const auto to_delay = [&](double tokens) {
+        return std::min(max_room_delay, std::chrono::duration_cast<duration>(
+                                            std::chrono::duration<double>(tokens / state.limit.rate)));
+    };
+    return {to_delay(missing), to_delay(1)};
+}
+
 bool is_suspended(const target_state& state, const placement_request& request, time_point now,
                   bool ignore_shedding)
 {
@@ -145,7 +166,8 @@
     ranked.reserve(members.size());
     const bool ignore_shedding = is_shedding_widespread(pool, members);
     for (target_state* state : members) {
-        if (is_eligible(pool, *state, request) && !is_suspended(*state, request, now, ignore_shedding)) {
+        if (is_eligible(pool, *state, request) && named_limit_allows(*state, now) &&
+            !is_suspended(*state, request, now, ignore_shedding)) {
             ranked.push_back({state, mix_hash(hash_name(state->entry.id), request.object)});
         }
     }
@@ -391,6 +413,40 @@
     }
 }
 
+void set_named_limit(target_state& state, std::optional<double> per_s, time_point now)
+{
+    if (!per_s) {
+        state.is_limited = false;
+        return;
+    }
+    state.limit.tokens = state.is_limited ? refilled_tokens(state.limit, now) : 0;
+    state.limit.refilled = now;
+    state.limit.rate = *per_s;
+    state.is_limited = true;
+}
+
+namespace {
+
+// If the only usable targets name limits, the request waits for the one that it may be sent to first.
+void wait_for_limited_target(const target_pool& pool, std::span<target_state* const> members,
+                             const placement_request& request, time_point now, placement& best)
+{
+    for (const target_state* state : members) {
+        if (!is_eligible(pool, *state, request) || named_limit_allows(*state, now)) {
+            continue;
+        }
+        const room_estimate room = room_within_limit(*state, now);
+        if (!best.limited || room.first < best.preferred_room.first) {
+            best.outcome = placement_outcome::full;
+            best.limited = true;
+            best.preferred = state;
+            best.preferred_room = room;
+        }
+    }
+}
+
+} // namespace
+
 placement choose_target(target_pool& pool, const placement_request& request, time_point now)
 {
     placement best;
@@ -427,6 +483,9 @@
     }
     best.preferred = preferred;
     best.preferred_room = preferred_room;
+    if (best.outcome == placement_outcome::no_target) {
+        wait_for_limited_target(pool, found->second, request, now, best);
+    }
     return best;
 }
 
@@ -437,6 +496,10 @@
     if (state.suspension != duration{}) {
         state.on_trial = true;
     }
+    if (state.is_limited) {
+        state.limit.tokens = refilled_tokens(state.limit, now) - 1;
+        state.limit.refilled = now;
+    }
     if (is_cold(state, now)) {
         state.allowance.tokens = refilled_tokens(state.allowance, now) - 1;
         state.allowance.refilled = now;
--- a/packages/edge/src/control.cpp
+++ b/packages/edge/src/control.cpp
@@ -97,6 +97,30 @@
     }
 }
 
+// An instance that does not see the fleet sends nothing to targets that name a limit: others may use it up.
+void assign_limits(control_state& state, traffic_view& view, time_point now)
+{
+    steering::on_notices_received(state.notices, state.report.load.notices, now);
+    steering::forget_old_notices(state.notices, now);
+    gauge(state.metric_registry, "camphorknot_named_limits", "")
+        .store(
+            static_cast<std::int64_t>(std::ranges::count_if(
+                state.notices.targets, [](const auto& item) { return item.second.limit_per_s.has_value(); })),
+            std::memory_order_relaxed);
+    if (state.notices.targets.empty()) {
+        return;
+    }
+    const bool sees_fleet = is_settled(state) && steering::sees_half_of_fleet(state.fleet, now);
+    const steering::task_candidates candidates = steering::live_candidates(state.fleet, now);
+    for (const auto& [id, target] : state.targets) {
+        if (const auto limit = steering::named_limit(state.notices, id, target.born_ms)) {
+            const auto rank =
+                sees_fleet ? steering::candidate_rank(state.fleet, candidates, "limit/" + id) : std::nullopt;
+            view.limit_shares[id] = steering::limit_share(*limit, rank);
+        }
+    }
+}
+
 } // namespace
 
 void publish_view(control_state& state, time_point now)
@@ -128,6 +152,7 @@
         view.demand.others[reported.customer] = reported.per_s;
     }
     assign_rate_owners(state, view.demand, now);
+    assign_limits(state, view, now);
     for (const steering::target_in_flight& reported : others.in_flight) {
         view.peer_in_flight[reported.target] = reported.requests;
     }
--- a/packages/edge/src/control.hpp
+++ b/packages/edge/src/control.hpp
@@ -66,6 +66,7 @@
     std::map<std::string, steering::rollout_record> rollout_states; ///< By service, as recorded in the store.
     std::map<std::string, steering::rollout_run> rollout_runs;      ///< By service, unfinished rollouts only.
     std::map<std::string, std::string> current_versions;            ///< By service.
+    steering::notice_table notices;                                 ///< Announced to any instance.
     bool rollout_write_pending = false; ///< A rollout state is being written to the store.
     traffic_report report;              ///< The latest one of the traffic thread.
     std::uint64_t status_sequence = 0;
--- a/packages/edge/src/control_fleet.cpp
+++ b/packages/edge/src/control_fleet.cpp
@@ -64,6 +64,7 @@
         add_own_domain_contact(state, contact);
     }
     merge_rollout_progress(state, status.load, status.identity.name, now);
+    steering::on_notices_received(state.notices, status.load.notices, now);
     const std::string address = status.identity.peer_address;
     const steering::record_positions positions = status.positions;
     const std::uint32_t link_mbps = status.identity.link_mbps;
@@ -90,6 +91,7 @@
         return;
     }
     merge_rollout_progress(state, summary.load, summary.failure_domain, now);
+    steering::on_notices_received(state.notices, summary.load.notices, now);
     const steering::record_positions positions = summary.positions;
     const auto delegates = steering::ranked_delegates(summary);
     const bool same_region = summary.region == state.settings.identity.region;
--- a/packages/edge/src/peer_codec.cpp
+++ b/packages/edge/src/peer_codec.cpp
@@ -48,9 +48,14 @@
     return std::tie(value.name, value.failure_domain, value.region, value.front_address, value.peer_address,
                     value.link_mbps, value.cpu_millicores);
 }
+auto peer_fields(const_or_mutable<target_notice> auto& value)
+{
+    return std::tie(value.target, value.born_ms, value.age, value.limit_per_s);
+}
 auto peer_fields(const_or_mutable<load_report> auto& value)
 {
-    return std::tie(value.demands, value.in_flight, value.rollouts, value.counts, value.requests_per_s);
+    return std::tie(value.demands, value.in_flight, value.rollouts, value.counts, value.requests_per_s,
+                    value.notices);
 }
 auto peer_fields(const_or_mutable<instance_status> auto& value)
 {
--- a/packages/edge/src/relay_search.cpp
+++ b/packages/edge/src/relay_search.cpp
@@ -166,13 +166,16 @@
             co_return outcome;
         }
         const steering::room_estimate room =
-            plan.object ? outcome.placement.preferred_room
-                        : steering::room_from_rate(state.pool.profiles[plan.service].completions_per_s);
+            plan.object || outcome.placement.limited
+                ? outcome.placement.preferred_room
+                : steering::room_from_rate(state.pool.profiles[plan.service].completions_per_s);
         const steering::wait_decision decision =
             steering::decide_wait(queue.order, state.queue_tuning, entry, now, plan.route->objective, room,
                                   uniform_real(state.random));
         if (!decision.admitted) {
-            outcome.refusal = refuse_placement(state, *request, plan, "targets_full", decision.retry_after);
+            outcome.refusal = refuse_placement(state, *request, plan,
+                                               outcome.placement.limited ? "targets_limited" : "targets_full",
+                                               decision.retry_after);
             co_return outcome;
         }
         const bool is_turn =
--- a/packages/edge/src/relay_send.cpp
+++ b/packages/edge/src/relay_send.cpp
@@ -99,6 +99,34 @@
                                 state.view.demand.possible, now);
 }
 
+// Stores what the answer announced. An answer of another server at the target's address says nothing about
+// it.
+void store_announcement(traffic_state& state, steering::target_state& chosen, const exchange_result& result,
+                        time_point now)
+{
+    const platform::answer_metadata& metadata = result.metadata;
+    if (result.outcome != exchange_outcome::answered || metadata.replaced) {
+        return;
+    }
+    if (metadata.unreadable_headers > 0) {
+        counter(state.metric_registry, "camphorknot_unreadable_announcements_total", "")
+            .fetch_add(metadata.unreadable_headers, std::memory_order_relaxed);
+        return;
+    }
+    const steering::announcement announced{metadata.limit_per_s};
+    if (!steering::on_announced(state.notices, chosen.entry.id, chosen.entry.born_ms, announced, now)) {
+        return;
+    }
+    if (!announced.limit_per_s) {
+        steering::set_named_limit(chosen, std::nullopt, now);
+    } else if (!chosen.is_limited) {
+        steering::set_named_limit(chosen, 0, now); // Until the control thread assigns a part of it.
+    }
+    log_event_limited(
+        state.log, log_severity::info, announced.limit_per_s ? "limit_named" : "limit_lifted",
+        {{"target", chosen.entry.id}, {"per_s", std::to_string(announced.limit_per_s.value_or(0))}});
+}
+
 void log_send(traffic_state& state, const caller_request& request, const request_plan& plan,
               const steering::target& target, const exchange_result& result, bool warm, duration elapsed,
               bool should_retry)
@@ -162,6 +190,9 @@
                 static_cast<double>(result.metadata.load->waiting)};
     }
     steering::on_request_ended(state.pool, chosen, outcome, placement, service_time, now, load);
+    if (chosen.entry.born_ms == target.born_ms) {
+        store_announcement(state, chosen, result, now);
+    }
     if (outcome == steering::target_outcome::success) {
         observe(placement.expected_warm ? *state.counters.warm_time : *state.counters.miss_time,
                 service_time);
--- a/packages/edge/src/traffic.cpp
+++ b/packages/edge/src/traffic.cpp
@@ -15,6 +15,8 @@
 
 // Period of the reports to the control thread, which sends them to the other instances at the same rate.
 constexpr duration report_period = std::chrono::milliseconds(200);
+// An answer of a target is reflected in the views after this time.
+constexpr duration view_delay = std::chrono::seconds(1);
 // A stopping instance accepts connections for this fraction of its stop time, since callers use an answer of
 // the directory until it expires.
 constexpr double accepting_fraction = 0.6;
@@ -58,6 +60,8 @@
             report.load.counts.push_back(counts_of_version);
         }
     }
+    steering::forget_old_notices(state.notices, now);
+    report.load.notices = steering::notices_to_report(state.notices, now);
     report.running_requests = state.running_requests;
     report.load.requests_per_s = update_request_rate(state, now);
     return report;
@@ -122,6 +126,23 @@
     state.pool.evacuated = evacuated;
 }
 
+// The part of a limit that the view assigns. The view lags behind this instance's own answers, so that a
+// recent one decides whether there is a limit; without an assignment nothing is sent.
+std::optional<double> own_limit_share(const traffic_state& state, const steering::target& target,
+                                      time_point now)
+{
+    const auto own = state.notices.targets.find(target.id);
+    const auto assigned = state.view.limit_shares.find(target.id);
+    const bool is_recent = own != state.notices.targets.end() && own->second.born_ms == target.born_ms &&
+                           now - own->second.announced_at < view_delay;
+    const bool is_limited =
+        is_recent ? own->second.limit_per_s.has_value() : assigned != state.view.limit_shares.end();
+    if (!is_limited) {
+        return std::nullopt;
+    }
+    return assigned == state.view.limit_shares.end() ? 0 : assigned->second;
+}
+
 void apply_view(traffic_state& state, traffic_view view)
 {
     const time_point now = boot_now();
@@ -145,6 +166,7 @@
         steering::on_peer_load_reported(target, found == state.view.peer_in_flight.end() ? 0 : found->second,
                                         now);
         target.is_warmup_owner = state.view.assigned_warmups.contains(id);
+        steering::set_named_limit(target, own_limit_share(state, target.entry, now), now);
     }
     for (auto& [service, queue] : state.queues) {
         wake_waiters(state, service, queue.waiters.size());
--- a/packages/edge/src/traffic.hpp
+++ b/packages/edge/src/traffic.hpp
@@ -79,6 +79,7 @@
     std::map<std::string, service_queue> queues;                   ///< By service.
     std::map<std::string, steering::version_split> version_splits; ///< By service; those under rollout.
     std::map<count_key, steering::version_counts> counts;
+    steering::notice_table notices; ///< Announced to this instance.
     steering::wait_tuning queue_tuning;
     connection_pool connections;
     random_source random;
--- a/packages/edge/src/views.hpp
+++ b/packages/edge/src/views.hpp
@@ -30,6 +30,8 @@
     std::set<std::string> assigned_warmups;
     steering::fleet_demand demand;
     std::unordered_map<std::string, double> peer_in_flight; ///< Requests of other instances, by target.
+    /// Requests per second that this instance may send to targets that name a limit, by target.
+    std::map<std::string, double> limit_shares;
 };
 
 /// Sent from the traffic thread to the control thread.
--- /dev/null
+++ b/packages/edge/tests/edge_dialect_test.cpp
@@ -0,0 +1,35 @@
+#include <catch2/catch.hpp>
+
+#include "camphorknot/platform/dialect.hpp"
+
+using namespace camphorknot::platform;
+
+TEST_CASE("dialect: a limit is a decimal number, and anything else is counted and ignored")
+{
+    const auto read_limit = [](const std::string& text) {
+        http_response response;
+        response.set("Server-Limit", text);
+        return read_answer_metadata(response);
+    };
+    CHECK(read_limit("1.5").limit_per_s == 1.5);
+    CHECK(read_limit("0").limit_per_s == 0.0);
+    CHECK(read_limit("12").limit_per_s == 12.0);
+    for (const std::string text : {"", "-1", "+1", "1e3", "0x10", "nan", "inf", "1.5x", "1,5", " ", "1 2"}) {
+        CAPTURE(text);
+        CHECK_FALSE(read_limit(text).limit_per_s);
+        CHECK(read_limit(text).unreadable_headers == 1);
+    }
+    CHECK(read_answer_metadata(http_response{}).unreadable_headers == 0);
+}
+
+TEST_CASE("dialect: callers do not receive what a target announces to the instances")
+{
+    http_response response;
+    response.set("Server-Limit", "1.5");
+    response.set("Server-Load", "1,0,3");
+    response.set("Server-Signature", "s");
+    const http_response answer = make_caller_answer(response);
+    CHECK(answer.count("Server-Limit") == 0);
+    CHECK(answer.count("Server-Load") == 0);
+    CHECK(answer["Server-Signature"] == "s");
+}
