steering: the orders are requested from who has them; a faster instance is waited for a limited time

Cause: since the orders were requested only from the live instances with the fastest link of the failure domain, whether they had them or not. One that is cut off from the store and from the other failure domains still counts as live, and a slower one that had the configuration for 5.8 s was not asked. Class: one instance picked by strength and waited for while another could act. The former test "... fast links only" is replaced by one on the same failure domain that also checks who asks first and that the slow instance is left alone once a fast one has it. Change: of those with a newer copy the fastest is asked. If a faster instance lacks it too, the fastest that lacks it asks first; the others wait for it for 0.4 s plus a spread of 0.6 s, and no more while it stays behind. A second source is asked after the time that the size of the copy and the link explain, 2 s at most (before: always 2 s). configuration_awaited logs what is waited for.

--- a/packages/decision/include/camphorknot/steering/fleet.hpp
+++ b/packages/decision/include/camphorknot/steering/fleet.hpp
@@ -11,6 +11,7 @@
 
 #include "camphorknot/steering/model.hpp"
 #include "camphorknot/steering/record_replica.hpp"
+#include "camphorknot/steering/record_requests.hpp"
 #include "camphorknot/steering/target_notices.hpp"
 
 namespace camphorknot::steering {
@@ -176,9 +177,11 @@
 /// @return the statuses of the other instances of the own failure domain that are alive and not leaving.
 std::vector<const instance_status*> live_statuses(const fleet& peers, time_point now);
 
-/// @return whether no other live instance of the own failure domain has a faster link.
-/// @param link_mbps of an instance of the own failure domain.
-bool has_fastest_link(const fleet& peers, std::uint32_t link_mbps, time_point now);
+/// @return the instance as a source of the orders.
+record_source source_of(const instance_identity& identity, const record_positions& positions);
+
+/// @return the other live instances of the own failure domain.
+std::vector<record_source> live_sources(const fleet& peers, time_point now);
 
 /// @return the summaries of the other failure domains that are alive.
 std::vector<const domain_summary*> live_summaries(const fleet& peers, time_point now);
--- a/packages/decision/src/steering/fleet.cpp
+++ b/packages/decision/src/steering/fleet.cpp
@@ -263,13 +263,19 @@
     return live;
 }
 
-bool has_fastest_link(const fleet& peers, std::uint32_t link_mbps, time_point now)
+record_source source_of(const instance_identity& identity, const record_positions& positions)
 {
-    return std::ranges::none_of(peers.members, [&](const auto& entry) {
-        const fleet::member& member = entry.second;
-        return member.status.identity.link_mbps > link_mbps && is_alive(peers, member, now) &&
-               !member.status.leaving;
-    });
+    return {identity.link_mbps, task_weight(identity.name, delegate_task),
+            positions.at(static_cast<std::size_t>(collection::orders))};
+}
+
+std::vector<record_source> live_sources(const fleet& peers, time_point now)
+{
+    std::vector<record_source> sources;
+    for (const instance_status* status : live_statuses(peers, now)) {
+        sources.push_back(source_of(status->identity, status->positions));
+    }
+    return sources;
 }
 
 std::vector<const domain_summary*> live_summaries(const fleet& peers, time_point now)
--- a/packages/decision/src/steering/record_requests.cpp
+++ b/packages/decision/src/steering/record_requests.cpp
@@ -11,27 +11,95 @@
 // A peer that has not answered in this time is skipped: the next peer with newer records is asked. The orders
 // hold the configuration, which may be large.
 constexpr duration small_answer_timeout = std::chrono::milliseconds(1200);
-constexpr duration orders_answer_timeout = std::chrono::milliseconds(2000);
+constexpr duration min_orders_timeout = std::chrono::milliseconds(400);
+constexpr duration max_orders_timeout = std::chrono::milliseconds(2000);
+// Others are sent copies over the same link at the same time.
+constexpr double concurrent_copies = 4;
 constexpr double not_requested = std::numeric_limits<double>::max();
-
-duration answer_timeout(collection group)
-{
-    return group == collection::orders ? orders_answer_timeout : small_answer_timeout;
-}
+// How long a faster instance is waited for, and the time over which those that give up waiting are spread.
+constexpr duration faster_source_wait = std::chrono::milliseconds(400);
+constexpr duration faster_source_spread = std::chrono::milliseconds(600);
 
 bool is_due(const record_replica& replica, const record_requests& pending, const record_position& peer,
             collection group, time_point now)
 {
     return peer.as_of_s > records_of(replica, group).position.as_of_s + min_lead_s &&
-           now - pending.requested_at.at(static_cast<std::size_t>(group)) >= answer_timeout(group);
+           now >= pending.retry_at.at(static_cast<std::size_t>(group));
+}
+
+bool has_newer_copy(const record_source& source, const record_source& own)
+{
+    return source.orders.version != own.orders.version ? source.orders.version > own.orders.version
+                                                       : source.orders.as_of_s > own.orders.as_of_s;
+}
+
+bool precedes(const record_source& a, const record_source& b)
+{
+    return std::pair(a.link_mbps, a.rank) > std::pair(b.link_mbps, b.rank);
+}
+
+duration give_up_waiting_after(const record_source& own)
+{
+    const double spread = static_cast<double>(own.rank >> 11U) * 0x1.0p-53;
+    return faster_source_wait +
+           duration(static_cast<std::int64_t>(static_cast<double>(faster_source_spread.count()) * spread));
 }
 
 } // namespace
 
+bool is_best_source(const record_source& peer, std::span<const record_source> others,
+                    const record_source& own, duration faster_behind_for)
+{
+    const auto is_faster = [&](const record_source& other) { return other.link_mbps > peer.link_mbps; };
+    const bool has_faster_holder = std::ranges::any_of(others, [&](const record_source& other) {
+        return is_faster(other) && has_newer_copy(other, own) && other.orders.version >= peer.orders.version;
+    });
+    const bool has_faster_requester = std::ranges::any_of(others, [&](const record_source& other) {
+        return is_faster(other) && other.orders.version < peer.orders.version && precedes(other, own);
+    });
+    const bool brings_new_version = peer.orders.version > own.orders.version;
+    const bool must_wait =
+        brings_new_version && has_faster_requester && faster_behind_for < give_up_waiting_after(own);
+    return !has_faster_holder && !must_wait;
+}
+
+duration expected_answer_time(const record_replica& replica, collection group, std::uint32_t link_mbps)
+{
+    if (group != collection::orders) {
+        return small_answer_timeout;
+    }
+    if (link_mbps == 0) {
+        return max_orders_timeout;
+    }
+    std::size_t bytes = 0;
+    for (const auto& [key, entry] : records_of(replica, group).records) {
+        bytes += entry.value.size();
+    }
+    const double seconds = concurrent_copies * 8 * static_cast<double>(bytes) / (1e6 * link_mbps);
+    return std::min(max_orders_timeout, min_orders_timeout + std::chrono::duration_cast<duration>(
+                                                                 std::chrono::duration<double>(seconds)));
+}
+
+void on_orders_announced(record_requests& pending, const record_source& own, const record_source& peer,
+                         std::span<const record_source> others, time_point now)
+{
+    const auto update_since = [now](time_point& since, bool is_behind) {
+        since = !is_behind ? time_point{} : since == time_point{} ? now : since;
+    };
+    pending.announced_orders = std::max(pending.announced_orders, peer.orders.version);
+    update_since(pending.own_behind_since, pending.announced_orders > own.orders.version);
+    if (peer.orders.version >= pending.announced_orders) {
+        update_since(pending.faster_behind_since, std::ranges::any_of(others, [&](const auto& other) {
+                         return other.link_mbps > peer.link_mbps &&
+                                other.orders.version < peer.orders.version;
+                     }));
+    }
+}
+
 std::vector<requested_positions> select_requests(const record_replica& replica,
                                                  const record_requests& pending,
                                                  const std::array<record_position, collection_count>& peer,
-                                                 bool has_fast_link, time_point now)
+                                                 bool is_orders_source, time_point now)
 {
     const std::vector<std::vector<collection>> messages = {{collection::targets, collection::rollout_states},
                                                            {collection::orders}};
@@ -41,7 +109,7 @@
         message.fill({0, not_requested});
         for (const collection group : groups) {
             const auto index = static_cast<std::size_t>(group);
-            const bool may_send = group != collection::orders || has_fast_link;
+            const bool may_send = group != collection::orders || is_orders_source;
             if (may_send && is_due(replica, pending, peer.at(index), group, now)) {
                 message.at(index) = records_of(replica, group).position;
             }
@@ -54,11 +122,13 @@
     return selected;
 }
 
-void on_requested(record_requests& pending, const requested_positions& message, time_point now)
+void on_requested(record_requests& pending, const record_replica& replica, const requested_positions& message,
+                  std::uint32_t link_mbps, time_point now)
 {
     for (std::size_t index = 0; index < collection_count; ++index) {
         if (message.at(index).as_of_s != not_requested) {
-            pending.requested_at.at(index) = now;
+            pending.retry_at.at(index) =
+                now + expected_answer_time(replica, static_cast<collection>(index), link_mbps);
         }
     }
 }
@@ -66,10 +136,10 @@
 void on_answered(record_requests& pending, std::span<const record_update> updates)
 {
     if (updates.empty()) {
-        pending.requested_at = {};
+        pending.retry_at = {};
     }
     for (const record_update& update : updates) {
-        pending.requested_at.at(static_cast<std::size_t>(update.group)) = {};
+        pending.retry_at.at(static_cast<std::size_t>(update.group)) = {};
     }
 }
 
--- a/packages/decision/tests/steering_records_test.cpp
+++ b/packages/decision/tests/steering_records_test.cpp
@@ -126,7 +126,7 @@
     CHECK(first.front().at(index_of(collection::orders)).as_of_s > 1e9);
     CHECK(first.back().at(index_of(collection::orders)).as_of_s < 0);
     for (const auto& message : first) {
-        on_requested(pending, message, start);
+        on_requested(pending, replica, message, 0, start);
     }
     CHECK(select_requests(replica, pending, peer, true, start + 1s).empty());
     const std::vector<record_update> answer = {{collection::targets, true, {}, {6, 10}}};
@@ -143,26 +143,96 @@
     CHECK(select_requests(replica, pending, later, true, start).size() == 2);
 }
 
+namespace {
+
+record_source make_source(std::uint32_t link_mbps, std::uint64_t rank, std::uint64_t version)
+{
+    return {link_mbps, rank, {version, static_cast<double>(version)}};
+}
+
+} // namespace
+
 TEST_CASE("records: a large configuration is requested from instances with fast links only")
 {
     // A failure domain of 34: the instance on a slow link that gets a configuration first is asked by no
-    // other.
+    // other, but by the fastest of those that lack it.
     record_replica replica;
     const record_requests pending;
     const std::array<record_position, collection_count> peer = {{{5, 10}, {6, 10}, {7, 10}}};
     const auto from_slow = select_requests(replica, pending, peer, false, time_point{1000s});
     REQUIRE(from_slow.size() == 1);
     CHECK(from_slow.front().at(static_cast<std::size_t>(collection::orders)).as_of_s > 1e9);
-    fleet peers;
-    for (const auto& [name, link_mbps] : std::map<std::string, std::uint32_t>{{"slow", 20}, {"fast", 200}}) {
-        instance_status status;
-        status.identity.name = name;
-        status.identity.link_mbps = link_mbps;
-        status.sequence = 1;
-        on_status_received(peers, status, time_point{name == "slow" ? 1002s : 1000s});
-    }
-    CHECK(has_fastest_link(peers, 200, time_point{1000s}));
-    CHECK_FALSE(has_fastest_link(peers, 20, time_point{1000s}));
+    const record_source slow_holder = make_source(20, 1, 44);
+    const std::vector<record_source> others = {slow_holder, make_source(200, 2, 40), make_source(200, 3, 40)};
+    CHECK_FALSE(is_best_source(slow_holder, others, make_source(20, 4, 40), 0ms));
+    CHECK_FALSE(is_best_source(slow_holder, others, make_source(200, 1, 40), 0ms));
+    CHECK(is_best_source(slow_holder, others, make_source(200, 5, 40), 0ms));
+    // Once a fast instance has it, it is asked, and the slow one no more.
+    const std::vector<record_source> later = {slow_holder, make_source(200, 2, 44), make_source(200, 3, 40)};
+    CHECK(is_best_source(later.at(1), later, make_source(20, 4, 40), 0ms));
+    CHECK_FALSE(is_best_source(slow_holder, later, make_source(20, 4, 40), 5s));
     // Without the fast ones the slow ones are asked.
-    CHECK(has_fastest_link(peers, 20, time_point{1002s}));
+    CHECK(is_best_source(slow_holder, std::span(others).first(1), make_source(20, 4, 40), 0ms));
+}
+
+TEST_CASE("records: a configuration is requested from a slow instance if the fast one does not get it")
+{
+    // The instance with the fastest link is cut off from the other failure domains and from the store.
+    const record_source slow_holder = make_source(20, 1, 44);
+    const std::vector<record_source> others = {slow_holder, make_source(200, 2, 40), make_source(20, 3, 40)};
+    for (const std::uint64_t rank : {4U, 5U, 6U}) {
+        CAPTURE(rank);
+        CHECK_FALSE(is_best_source(slow_holder, others, make_source(20, rank, 40), 100ms));
+        CHECK(is_best_source(slow_holder, others, make_source(20, rank, 40), 1s));
+    }
+    // Two versions in a row: the newer copy is requested even if a faster instance has the older one.
+    const std::vector<record_source> two = {make_source(20, 1, 47), make_source(200, 2, 44)};
+    CHECK(is_best_source(two.at(1), two, make_source(20, 4, 40), 0ms));
+    CHECK(is_best_source(two.at(0), two, make_source(20, 4, 44), 1s));
+}
+
+TEST_CASE("records: instances that wait for a fast one do not ask the slow one at the same time")
+{
+    const record_source slow_holder = make_source(20, 1, 44);
+    const std::vector<record_source> others = {slow_holder, make_source(200, 2, 40)};
+    std::set<int> asked_after_ms;
+    for (std::uint64_t number = 0; number < 32; ++number) {
+        const record_source own = make_source(20, mix_hash(number, 11), 40);
+        int after_ms = 0;
+        while (!is_best_source(slow_holder, others, own, std::chrono::milliseconds(after_ms))) {
+            after_ms += 50;
+        }
+        asked_after_ms.insert(after_ms);
+    }
+    CHECK(asked_after_ms.size() >= 8);
+    CHECK(*asked_after_ms.rbegin() <= 1000);
+}
+
+TEST_CASE("records: another source is asked when the copy takes longer than its size explains")
+{
+    record_replica replica;
+    records_of(replica, collection::orders).records["config"].value.assign(std::size_t{250} * 1024, 'a');
+    CHECK(expected_answer_time(replica, collection::orders, 200) < 1s);
+    CHECK(expected_answer_time(replica, collection::orders, 20) >= 500ms);
+    CHECK(expected_answer_time(replica, collection::orders, 1) <= 2s);
+    CHECK(expected_answer_time(replica, collection::orders, 0) <= 2s);
+}
+
+TEST_CASE("records: while the fast instance stays behind, further versions are requested without a wait")
+{
+    record_requests pending;
+    const time_point start{1000s};
+    const auto wait_at = [&](std::uint64_t version, std::uint64_t fast_version, time_point now) {
+        const std::vector<record_source> others = {make_source(20, 1, version),
+                                                   make_source(200, 2, fast_version)};
+        on_orders_announced(pending, make_source(20, 4, version - 1), others.front(), others, now);
+        return pending.faster_behind_since == time_point{} ? -1ms : now - pending.faster_behind_since;
+    };
+    CHECK(wait_at(44, 40, start) == 0ms);
+    CHECK(wait_at(46, 40, start + 500ms) == 500ms);
+    CHECK(wait_at(47, 40, start + 2s) == 2s);
+    CHECK(pending.own_behind_since == start);
+    // The fast instance is back.
+    CHECK(wait_at(48, 48, start + 3s) == -1ms);
+    CHECK(wait_at(49, 48, start + 4s) == 0ms);
 }
--- a/packages/edge/src/control_fleet.cpp
+++ b/packages/edge/src/control_fleet.cpp
@@ -21,22 +21,62 @@
 // Periods in ticks of the statuses that list the contacts of the failure domain, during the start and later.
 constexpr std::uint64_t startup_contact_exchange_ticks = 3;
 constexpr std::uint64_t contact_exchange_ticks = 10;
+// A newer configuration that has been known for longer without arriving is logged.
+constexpr duration configuration_wait_log_delay = std::chrono::milliseconds(1500);
 // Summaries to other regions leave out the requests in flight if these are at more targets than this.
 constexpr std::size_t max_cross_region_in_flight = 512;
 
 // Requests the collections of which the peer has newer copies.
-void request_records(control_state& state, const std::string& address,
-                     const steering::record_positions& positions, bool has_fast_link)
+void request_records(control_state& state, const steering::instance_contact& peer,
+                     const steering::record_positions& positions, bool is_orders_source)
 {
     const time_point now = boot_now();
     for (const steering::requested_positions& message :
-         steering::select_requests(state.replica, state.pending_requests, positions, has_fast_link, now)) {
-        if (send_to(*state.peers, address, encode_frame(records_request{message}))) {
-            steering::on_requested(state.pending_requests, message, now);
+         steering::select_requests(state.replica, state.pending_requests, positions, is_orders_source, now)) {
+        if (send_to(*state.peers, peer.peer_address, encode_frame(records_request{message}))) {
+            steering::on_requested(state.pending_requests, state.replica, message, peer.link_mbps, now);
+            if (is_orders_source) {
+                state.pending_requests.orders_source = peer.name;
+            }
         }
     }
 }
 
+steering::record_positions own_positions(const control_state& state)
+{
+    steering::record_positions positions;
+    for (std::size_t index = 0; index < steering::collection_count; ++index) {
+        positions.at(index) = state.replica.collections.at(index).position;
+    }
+    return positions;
+}
+
+// Whether to request the orders from an instance of the own failure domain.
+bool is_orders_source(control_state& state, const steering::instance_contact& peer,
+                      const steering::record_positions& positions, time_point now)
+{
+    const steering::record_source own = steering::source_of(state.settings.identity, own_positions(state));
+    steering::instance_identity identity;
+    identity.name = peer.name;
+    identity.link_mbps = peer.link_mbps;
+    const steering::record_source source = steering::source_of(identity, positions);
+    const std::vector<steering::record_source> others = steering::live_sources(state.fleet, now);
+    steering::record_requests& pending = state.pending_requests;
+    steering::on_orders_announced(pending, own, source, others, now);
+    const auto time_since = [now](time_point since) {
+        return since == time_point{} ? duration{} : now - since;
+    };
+    const duration own_behind_for = time_since(pending.own_behind_since);
+    if (own_behind_for > configuration_wait_log_delay) {
+        log_event_limited(state.log, log_severity::warning, "configuration_awaited",
+                          {{"record_version", std::to_string(pending.announced_orders)},
+                           {"own_record_version", std::to_string(own.orders.version)},
+                           {"asked", pending.orders_source},
+                           {"for_ms", std::to_string(own_behind_for / std::chrono::milliseconds(1))}});
+    }
+    return steering::is_best_source(source, others, own, time_since(pending.faster_behind_since));
+}
+
 records_answer make_records_answer(const control_state& state, const records_request& request)
 {
     records_answer answer;
@@ -65,11 +105,10 @@
     }
     merge_rollout_progress(state, status.load, status.identity.name, now);
     steering::on_notices_received(state.notices, status.load.notices, now);
-    const std::string address = status.identity.peer_address;
+    const steering::instance_contact peer = steering::contact_of(status.identity);
     const steering::record_positions positions = status.positions;
-    const std::uint32_t link_mbps = status.identity.link_mbps;
     if (steering::on_status_received(state.fleet, std::move(status), now)) {
-        request_records(state, address, positions, steering::has_fastest_link(state.fleet, link_mbps, now));
+        request_records(state, peer, positions, is_orders_source(state, peer, positions, now));
     }
     return std::nullopt;
 }
@@ -107,7 +146,7 @@
     const bool should_request =
         steering::is_domain_delegate(state.fleet, now) && (same_region || records_are_stale(state, now));
     if (should_request && !delegates.empty()) {
-        request_records(state, delegates.front().peer_address, positions, true);
+        request_records(state, delegates.front(), positions, true);
     }
 }
 
@@ -178,9 +217,7 @@
     status.sequence = ++state.status_sequence;
     status.leaving = state.stopping;
     status.reads_store = state.fleet.own_reads_store;
-    for (std::size_t index = 0; index < steering::collection_count; ++index) {
-        status.positions.at(index) = state.replica.collections.at(index).position;
-    }
+    status.positions = own_positions(state);
     status.load = state.report.load;
     status.load.rollouts = collect_rollout_progress(state, now);
     if (!are_contacts_due(state)) {
