steering: the store's eras order what is known; a return from an old copy undoes nothing

What users announced: the store may return from a copy some seconds old; versions go back and are given out again. Cause: records were ordered by the store's version alone. After a return, changes with versions that were given out before were ignored or never read, a rollout's record was written against a version that no longer exists, and a rollout order that was written again started over: its verdict was dropped, and the condemned version was tried again by instances without counts. Class: an order of versions that the store no longer guarantees. Change: the era is kept in the upper bits of each version, so that versions of different eras are in order everywhere.

The end of a rollout is remembered; an order that is written again is the same order, and its state is recorded again. A server that drains does not become ready again under the same start. An era that cannot be read is counted, and the last one is assumed. Open: an instance that starts between the loss and the rewriting reads the old copy until the operator has written again.

--- a/packages/decision/include/camphorknot/steering/record_replica.hpp
+++ b/packages/decision/include/camphorknot/steering/record_replica.hpp
@@ -1,11 +1,15 @@
 /// @file
 /// Local replica of the versioned records in the store, updated from the store or from a peer's replica.
 ///
+/// The store may return from an old copy; its versions then go back and are given out again, in a new era. A
+/// version here has the era in its upper bits, so that versions of different eras are in order.
+///
 /// Both sources answer the query "changes after version V", so an instance may switch its source at any time.
 /// A record is never replaced by an older version.
 #pragma once
 
 #include <array>
+#include <functional>
 #include <map>
 #include <span>
 #include <string>
@@ -19,12 +23,28 @@
 enum class collection : std::uint8_t { orders, targets, rollout_states };
 inline constexpr std::size_t collection_count = 3;
 
+/// Number of bits of a version that hold the store's own version.
+inline constexpr unsigned era_shift = 40;
+
+constexpr std::uint64_t make_version(std::uint64_t era, std::uint64_t store_version)
+{
+    return (era << era_shift) | store_version;
+}
+constexpr std::uint64_t era_of(std::uint64_t version)
+{
+    return version >> era_shift;
+}
+constexpr std::uint64_t store_version_of(std::uint64_t version)
+{
+    return version & ((std::uint64_t{1} << era_shift) - 1);
+}
+
 /// One version of a record.
 struct record {
     collection group = collection::orders;
     std::string key{};
     std::string value{};
-    std::uint64_t version = 0; ///< From the store's global version counter.
+    std::uint64_t version = 0; ///< From make_version, with the store's global version counter.
     bool removed = false;      ///< The record was deleted; its value is empty.
 };
 
@@ -64,9 +84,18 @@
     return replica.collections.at(static_cast<std::size_t>(group));
 }
 
+/// @return whether the content of the first record is known to be newer than that of the second.
+using content_order = std::function<bool(const record&, const record&)>;
+
 /// Applies @p update. Records that are not newer than the stored version are ignored.
+///
+/// The first update of a new era comes from an old copy. It undoes nothing that is known to be newer: removed
+/// records stay removed, newer content is kept, and records that the copy lacks are kept until the next
+/// snapshot, since their writers write them again.
+/// @param is_newer decides on the content of records of different eras.
 /// @return the records that changed.
-std::vector<record> apply_update(record_replica& replica, const record_update& update);
+std::vector<record> apply_update(record_replica& replica, const record_update& update,
+                                 const content_order& is_newer = nullptr);
 
 /// @return the changes in @p group after @p position, or a snapshot if these changes are not available.
 record_update changes_since(const record_replica& replica, collection group, const record_position& position);
--- a/packages/decision/include/camphorknot/steering/rollout_pacer.hpp
+++ b/packages/decision/include/camphorknot/steering/rollout_pacer.hpp
@@ -8,6 +8,7 @@
 /// instance that restarts are lost, and slow ones are not counted if their callers leave.
 #pragma once
 
+#include <optional>
 #include <span>
 
 #include "camphorknot/steering/fleet.hpp"
@@ -53,6 +54,7 @@
     duration peer_elapsed{}; ///< Longest elapsed time reported by another instance, at `peer_elapsed_at`.
     time_point peer_elapsed_at{};
     bool stopped = false;   ///< The new version was found to be failing.
+    bool completed = false; ///< Recorded as completed, in a record that the store has lost.
     double share = 0;       ///< Share of this instance's traffic that the new version gets.
     time_point share_at{};  ///< When `share` was updated.
     double peer_share = 0;  ///< Smallest share at the other instances.
@@ -62,6 +64,13 @@
     rollout_state due_state = rollout_state::running;
 };
 
+/// Whether an order was written again after the store returned from an old copy, so that what is known of the
+/// rollout holds. A new order for the same version within one era starts over.
+/// @param known the order that is known, or one that was finished.
+/// @param since_new_era time since the store's era rose; empty if it did not.
+bool is_same_order(const rollout_order& known, const rollout_order& incoming,
+                   std::optional<duration> since_new_era);
+
 /// @return time since any instance first received the order.
 duration elapsed_of(const rollout_run& run, time_point now);
 
--- a/packages/decision/src/steering/record_replica.cpp
+++ b/packages/decision/src/steering/record_replica.cpp
@@ -34,12 +34,52 @@
     }
 }
 
+// Merges the first snapshot of a new era. All stored records take versions of the new era.
+void apply_old_copy(record_replica::collection_records& group_records, const record_update& update,
+                    const content_order& is_newer, std::vector<record>& changed)
+{
+    std::set<std::string_view> present;
+    for (const record& entry : update.records) {
+        present.insert(entry.key);
+        record& stored = group_records.records[entry.key];
+        const bool is_known = stored.version > 0;
+        const bool keeps_stored =
+            is_known && (stored.removed || (is_newer != nullptr && is_newer(stored, entry)));
+        if (keeps_stored) {
+            stored.version = entry.version;
+        } else {
+            const bool is_same = is_known && stored.value == entry.value;
+            stored = entry;
+            if (!is_same) {
+                changed.push_back(entry);
+            }
+        }
+    }
+    for (auto& [key, stored] : group_records.records) {
+        if (!present.contains(key)) {
+            stored.version = update.position.version;
+        }
+    }
+}
+
 } // namespace
 
-std::vector<record> apply_update(record_replica& replica, const record_update& update)
+std::vector<record> apply_update(record_replica& replica, const record_update& update,
+                                 const content_order& is_newer)
 {
     record_replica::collection_records& group_records = records_of(replica, update.group);
     std::vector<record> changed;
+    const bool is_new_era = group_records.position.version > 0 &&
+                            era_of(update.position.version) > era_of(group_records.position.version);
+    if (is_new_era) {
+        if (update.is_snapshot) {
+            apply_old_copy(group_records, update, is_newer, changed);
+            group_records.position = update.position;
+            group_records.history_start = update.position.version;
+            replica.change_count += changed.empty() ? 0 : 1;
+        }
+        return changed; // Changes alone do not show what the copy lacks.
+    }
     if (update.is_snapshot) {
         apply_removals(group_records, update, changed);
     }
@@ -62,7 +102,8 @@
 record_update changes_since(const record_replica& replica, collection group, const record_position& position)
 {
     const record_replica::collection_records& group_records = records_of(replica, group);
-    const bool is_snapshot = position.as_of_s < 0 || position.version < group_records.history_start;
+    const bool is_snapshot = position.as_of_s < 0 || position.version < group_records.history_start ||
+                             era_of(position.version) != era_of(group_records.position.version);
     record_update update{group, is_snapshot, {}, group_records.position};
     for (const auto& [key, entry] : group_records.records) {
         if (is_snapshot ? !entry.removed : entry.version > position.version) {
--- a/packages/decision/src/steering/rollout_pacer.cpp
+++ b/packages/decision/src/steering/rollout_pacer.cpp
@@ -65,6 +65,20 @@
 
 } // namespace
 
+bool is_same_order(const rollout_order& known, const rollout_order& incoming,
+                   std::optional<duration> since_new_era)
+{
+    // The operator has written everything again by then.
+    constexpr duration rewrite_time = std::chrono::seconds(10);
+    if (known.service != incoming.service || known.version != incoming.version ||
+        known.time_limit != incoming.time_limit) {
+        return false;
+    }
+    const bool is_other_era = era_of(known.order_version) != era_of(incoming.order_version);
+    return known.order_version == incoming.order_version || is_other_era ||
+           (since_new_era && *since_new_era < rewrite_time);
+}
+
 duration elapsed_of(const rollout_run& run, time_point now)
 {
     const duration own = now - run.first_seen;
@@ -106,6 +120,9 @@
 double limit_share(const rollout_run& run, const rollout_tuning& tuning, double scheduled, bool promoted,
                    time_point now)
 {
+    if (run.completed) {
+        return scheduled;
+    }
     const double allowed = promoted ? scheduled : std::min(scheduled, tuning.trial_share);
     const double start = std::max({run.share, run.peer_share, tuning.trial_share});
     const duration ramp_time =
@@ -121,7 +138,7 @@
 
 bool is_out_of_time(const rollout_run& run, const rollout_tuning& tuning, time_point now)
 {
-    return run.share < 1 && run.order.time_limit > duration{} &&
+    return run.share < 1 && !run.completed && run.order.time_limit > duration{} &&
            elapsed_of(run, now) >= scaled(run.order.time_limit, tuning.abandon_fraction);
 }
 
@@ -131,6 +148,9 @@
     if (run.stopped || !has_new_targets) {
         return 0;
     }
+    if (run.completed) {
+        return 1;
+    }
     const duration elapsed = elapsed_of(run, now);
     const duration ramp_start = scaled(run.order.time_limit, tuning.trial_end_fraction);
     const duration ramp_end = scaled(run.order.time_limit, tuning.ramp_end_fraction);
@@ -170,6 +190,9 @@
     if (run.stopped) {
         return rollout_step::record_rolled_back;
     }
+    if (run.completed) {
+        return rollout_step::record_completed;
+    }
     const bool moved = run.share >= 1 && all_instances_moved;
     const bool may_complete =
         elapsed_of(run, now) >= scaled(run.order.time_limit, tuning.completion_fraction);
--- a/packages/decision/tests/steering_records_test.cpp
+++ b/packages/decision/tests/steering_records_test.cpp
@@ -236,3 +236,51 @@
     CHECK(wait_at(48, 48, start + 3s) == -1ms);
     CHECK(wait_at(49, 48, start + 4s) == 0ms);
 }
+
+TEST_CASE("records: a copy of an earlier time undoes nothing that is known to be newer")
+{
+    const auto make_record = [](const std::string& key, const std::string& value, std::uint64_t version) {
+        return record{collection::orders, key, value, version, false};
+    };
+    const auto is_newer = [](const record& a, const record& b) { return a.value > b.value; };
+    record_replica replica;
+    apply_update(replica, {collection::orders,
+                           true,
+                           {make_record("kept", "b", 50), make_record("removed", "a", 20),
+                            make_record("absent", "a", 55), make_record("newer", "a", 30)},
+                           {60, 10}});
+    apply_update(replica,
+                 {collection::orders, false, {{collection::orders, "removed", "", 61, true}}, {61, 11}});
+    // Changes of the new era do not tell what the copy lacks.
+    const std::uint64_t copied_at = make_version(1, 40);
+    CHECK(apply_update(replica, {collection::orders, false, {}, {copied_at, 1e7}}).empty());
+    const record_update copy = {collection::orders,
+                                true,
+                                {make_record("kept", "a", make_version(1, 10)),
+                                 make_record("removed", "a", make_version(1, 20)),
+                                 make_record("newer", "c", make_version(1, 30))},
+                                {copied_at, 1e7}};
+    const auto changed = apply_update(replica, copy, is_newer);
+    REQUIRE(changed.size() == 1);
+    CHECK(changed.front().key == "newer");
+    CHECK(find_record(replica, collection::orders, "kept")->value == "b");
+    CHECK(find_record(replica, collection::orders, "removed") == nullptr);
+    REQUIRE(find_record(replica, collection::orders, "absent") != nullptr);
+    // A version that was given out before is newer now.
+    const auto written = apply_update(replica, {collection::orders,
+                                                false,
+                                                {make_record("kept", "c", make_version(1, 45))},
+                                                {make_version(1, 45), 1e7 + 1}});
+    CHECK(written.size() == 1);
+    // An update of the earlier era that arrives late changes nothing.
+    CHECK(
+        apply_update(replica, {collection::orders, false, {make_record("kept", "z", 70)}, {70, 12}}).empty());
+    // An instance that has not seen the new era gets a snapshot.
+    CHECK(changes_since(replica, collection::orders, {61, 11}).is_snapshot);
+    // What nobody has written again is removed by the next snapshot.
+    apply_update(replica, {collection::orders,
+                           true,
+                           {make_record("kept", "c", make_version(1, 45))},
+                           {make_version(1, 50), 1e7 + 4}});
+    CHECK(find_record(replica, collection::orders, "absent") == nullptr);
+}
--- a/packages/decision/tests/steering_rollout_test.cpp
+++ b/packages/decision/tests/steering_rollout_test.cpp
@@ -262,3 +262,32 @@
     CHECK(longest_running_version(targets, "sealdesk", "").empty());
     CHECK(longest_running_version(std::span(targets).last(1), "catalogue", "") == "v8");
 }
+
+TEST_CASE(
+    "rollout pacer: an order that is written again in a new era is the same, one in the same era is new")
+{
+    const rollout_order known = {"catalogue", "v2", 16s, 70};
+    rollout_order again = known;
+    again.order_version = make_version(1, 30);
+    CHECK(is_same_order(known, again, std::nullopt));
+    rollout_order rewritten = known;
+    rewritten.order_version = make_version(1, 42);
+    CHECK(is_same_order(again, rewritten, 2s));
+    CHECK_FALSE(is_same_order(again, rewritten, 60s));
+    CHECK_FALSE(is_same_order(again, rewritten, std::nullopt));
+    rollout_order other = again;
+    other.version = "v3";
+    CHECK_FALSE(is_same_order(known, other, 2s));
+}
+
+TEST_CASE(
+    "rollout pacer: a rollout whose completion the store has lost keeps its traffic and is recorded again")
+{
+    const rollout_tuning tuning;
+    rollout_run run = make_run();
+    run.completed = true;
+    const double scheduled = new_version_share(run, tuning, true, start);
+    CHECK(limit_share(run, tuning, scheduled, false, start) == 1);
+    CHECK(next_step(run, tuning, std::nullopt, 5, false, start) == rollout_step::record_completed);
+    CHECK(next_step(run, tuning, rollout_state::completed, 0, true, start) == rollout_step::none);
+}
--- a/packages/edge/src/control.hpp
+++ b/packages/edge/src/control.hpp
@@ -65,10 +65,17 @@
     std::map<std::string, steering::rollout_order> rollout_orders;  ///< By service.
     std::map<std::string, steering::rollout_record> rollout_states; ///< By service, as recorded in the store.
     std::map<std::string, steering::rollout_run> rollout_runs;      ///< By service, unfinished rollouts only.
-    std::map<std::string, std::string> current_versions;            ///< By service.
-    steering::notice_table notices;                                 ///< Announced to any instance.
-    bool rollout_write_pending = false; ///< A rollout state is being written to the store.
-    traffic_report report;              ///< The latest one of the traffic thread.
+    /// By service: the order of the last rollout that this instance knows to be finished, with its final
+    /// state.
+    std::map<std::string, std::pair<steering::rollout_order, steering::rollout_state>> finished_rollouts;
+    std::map<std::string, std::string> current_versions; ///< By service.
+    std::uint64_t store_era = 0;
+    std::optional<time_point> era_rose_at; ///< When this instance learned of the current era, unless it
+                                           ///< started in it.
+    bool snapshot_due = false;             ///< The targets and orders are to be read in full.
+    steering::notice_table notices;        ///< Announced to any instance.
+    bool rollout_write_pending = false;    ///< A rollout state is being written to the store.
+    traffic_report report;                 ///< The latest one of the traffic thread.
     std::uint64_t status_sequence = 0;
     std::uint64_t tick_count = 0;
     time_point started_at{};
@@ -133,6 +140,8 @@
 /// Registers this instance in the store and reads the instances that are registered there. Afterwards a
 /// domain delegate reads them again while a failure domain is missing.
 boost::asio::awaitable<void> register_instance(control_state& state);
+/// Registers this instance once more, at a random time within seconds: the store has lost the registration.
+boost::asio::awaitable<void> register_again(control_state& state);
 /// Sends this instance's status to its failure domain and, if it is the delegate, the summaries that are due
 /// to the other failure domains.
 /// @param urgent sends a summary to the failure domains of this region in any case, since records have
--- a/packages/edge/src/control_discovery.cpp
+++ b/packages/edge/src/control_discovery.cpp
@@ -233,4 +233,24 @@
     }
 }
 
+asio::awaitable<void> register_again(control_state& state)
+{
+    const steering::instance_contact contact = steering::contact_of(state.settings.identity);
+    random_source random{hash_name(contact.name) ^ state.store_era};
+    const double delay_s =
+        uniform_real(random) * std::chrono::duration<double>(registration_retry_period).count();
+    co_await wait(state, std::chrono::duration_cast<duration>(std::chrono::duration<double>(delay_s)));
+    bool written = false;
+    while (!written) {
+        const platform::store_answer answer = co_await platform::write_contact(state.write_client, contact);
+        written = answer.status == platform::store_status::ok;
+        if (!written) {
+            co_await wait(state, registration_retry_period);
+        }
+    }
+    log_event(log_severity::info, "instance_registered",
+              {{"registered", std::to_string(state.registered_instances.size())},
+               {"era", std::to_string(state.store_era)}});
+}
+
 } // namespace camphorknot::edge
--- a/packages/edge/src/control_records.cpp
+++ b/packages/edge/src/control_records.cpp
@@ -1,5 +1,7 @@
 // Follows the records: from the store if this instance is the store reader of its region or its records are
 // stale, else from peers.
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -149,6 +151,10 @@
         return;
     }
     state.pending_target_removals.erase(record.key);
+    // A server that drains does not become ready again: this is an older state of it.
+    if (existing != state.targets.end() && existing->second.born_ms == decoded->born_ms) {
+        decoded->draining = decoded->draining || existing->second.draining;
+    }
     const bool is_change = existing == state.targets.end() ||
                            existing->second.draining != decoded->draining ||
                            existing->second.born_ms != decoded->born_ms;
@@ -217,18 +223,58 @@
     return state.collection_freshness.at(static_cast<std::size_t>(steering::collection::orders)).as_of_s >= 0;
 }
 
+// Records that the old copy lacks are removed by a second snapshot, if their writers have not written them
+// again.
+constexpr duration rewrite_grace = std::chrono::seconds(3);
+
+void on_era_seen(control_state& state, std::uint64_t era, time_point now)
+{
+    if (era <= state.store_era) {
+        return;
+    }
+    const bool is_first = state.store_era == 0 && !has_records(state);
+    state.store_era = era;
+    if (is_first) {
+        return;
+    }
+    state.era_rose_at = now;
+    state.snapshot_due = true;
+    counter(state.metric_registry, "camphorknot_store_era_rises_total", "")
+        .fetch_add(1, std::memory_order_relaxed);
+    log_event(log_severity::warning, "store_era_rose", {{"era", std::to_string(era)}});
+    asio::co_spawn(state.context, register_again(state), asio::detached);
+}
+
+// The position after which the store is asked for changes; empty if the collection is to be read in full. The
+// targets are the last collection that is.
+steering::record_position position_to_read(control_state& state, steering::collection group, time_point now)
+{
+    const bool is_due = state.snapshot_due && now - *state.era_rose_at >= rewrite_grace;
+    if (!is_due || group == steering::collection::rollout_states) {
+        return steering::records_of(state.replica, group).position;
+    }
+    return {};
+}
+
 // Returns the number of changed records; empty if the store did not answer.
 asio::awaitable<std::optional<std::size_t>> read_from_store(control_state& state, steering::collection group)
 {
     platform::store_status status = platform::store_status::unavailable;
     auto update = co_await platform::read_collection(
-        state.read_client, group, steering::records_of(state.replica, group).position, duration{}, status);
+        state.read_client, group, position_to_read(state, group, boot_now()), duration{}, status);
     on_store_answer(state, status);
     counter(state.metric_registry, "camphorknot_store_reads_total", "")
         .fetch_add(1, std::memory_order_relaxed);
+    gauge(state.metric_registry, "camphorknot_unreadable_store_eras", "")
+        .store(static_cast<std::int64_t>(platform::unreadable_eras(*state.read_client)),
+               std::memory_order_relaxed);
     if (!update) {
         co_return std::nullopt;
     }
+    if (update->is_snapshot && group == steering::collection::targets && state.era_rose_at &&
+        boot_now() - *state.era_rose_at >= rewrite_grace) {
+        state.snapshot_due = false;
+    }
     remove_plain_heartbeats(state, *update);
     co_return apply_record_update(state, *update, "store");
 }
@@ -254,9 +300,11 @@
                                 std::string_view source)
 {
     const time_point now = boot_now();
+    on_era_seen(state, steering::era_of(update.position.version), now);
     on_collection_confirmed(state, update.group, update.position.as_of_s, now);
     const steering::collection group = update.group;
-    const std::vector<steering::record> changed = steering::apply_update(state.replica, update);
+    const std::vector<steering::record> changed =
+        steering::apply_update(state.replica, update, platform::is_newer_content);
     for (const steering::record& record : changed) {
         switch (group) {
         case steering::collection::orders:
--- a/packages/edge/src/control_rollouts.cpp
+++ b/packages/edge/src/control_rollouts.cpp
@@ -38,6 +38,11 @@
     return found->second.state;
 }
 
+std::optional<duration> time_since_new_era(const control_state& state, time_point now)
+{
+    return state.era_rose_at ? std::optional(now - *state.era_rose_at) : std::nullopt;
+}
+
 bool has_targets(const control_state& state, std::string_view service, std::string_view version)
 {
     for (const auto& [id, target] : state.targets) {
@@ -69,7 +74,12 @@
     const bool completed = recorded != state.rollout_states.end() &&
                            recorded->second.state == steering::rollout_state::completed &&
                            recorded->second.version == version;
-    return order != state.rollout_orders.end() && order->second.version == version && !completed;
+    const auto finished = state.finished_rollouts.find(service);
+    const bool was_completed = finished != state.finished_rollouts.end() &&
+                               finished->second.first.version == version &&
+                               finished->second.second == steering::rollout_state::completed;
+    return order != state.rollout_orders.end() && order->second.version == version && !completed &&
+           !was_completed;
 }
 
 // The version that gets a service's requests outside of a rollout. It changes when a rollout completes, so
@@ -147,28 +157,57 @@
     return true;
 }
 
+// Keeps in mind how rollouts ended: the store may lose the record.
+void remember_finished(control_state& state)
+{
+    for (const auto& [service, order] : state.rollout_orders) {
+        if (is_finished(state, order)) {
+            state.finished_rollouts[service] = {order, state.rollout_states.at(service).state};
+        }
+    }
+}
+
+steering::rollout_run make_run(const control_state& state, const steering::rollout_order& order,
+                               time_point now)
+{
+    steering::rollout_run run;
+    run.order = order;
+    run.first_seen = now;
+    const auto finished = state.finished_rollouts.find(order.service);
+    if (finished != state.finished_rollouts.end() &&
+        steering::is_same_order(finished->second.first, order, time_since_new_era(state, now))) {
+        run.stopped = finished->second.second == steering::rollout_state::rolled_back;
+        run.completed = finished->second.second == steering::rollout_state::completed;
+    }
+    return run;
+}
+
 // Removes the runs of finished or replaced rollout orders and starts a run for each new order.
 void sync_runs(control_state& state, time_point now)
 {
+    remember_finished(state);
     std::erase_if(state.rollout_runs, [&](const auto& run) {
         const auto order = state.rollout_orders.find(run.first);
-        return order == state.rollout_orders.end() ||
-               order->second.order_version != run.second.order.order_version ||
-               is_finished(state, order->second);
+        return order == state.rollout_orders.end() || is_finished(state, order->second) ||
+               !steering::is_same_order(run.second.order, order->second, time_since_new_era(state, now));
     });
+    for (auto& [service, run] : state.rollout_runs) {
+        run.order = state.rollout_orders.at(service);
+    }
     for (const auto& [service, order] : state.rollout_orders) {
         if (is_finished(state, order) || state.rollout_runs.contains(service)) {
             continue;
         }
         current_version(state, service);
-        steering::rollout_run run;
-        run.order = order;
-        run.first_seen = now;
+        const steering::rollout_run run = make_run(state, order, now);
         log_event(log_severity::info, "rollout_seen",
                   {{"service", service},
                    {"version", order.version},
                    {"from", state.current_versions[service]},
-                   {"order", std::to_string(order.order_version)}});
+                   {"order", std::to_string(order.order_version)},
+                   {"known_to_be", run.stopped     ? "rolled_back"
+                                   : run.completed ? "completed"
+                                                   : "new"}});
         state.rollout_runs[service] = run;
     }
 }
@@ -255,7 +294,8 @@
         steering::find_record(state.replica, steering::collection::rollout_states, key);
     const auto last_state = state.rollout_states.find(order.service);
     std::uint64_t expected = stored == nullptr ? 0 : stored->version;
-    if (last_state != state.rollout_states.end()) {
+    if (last_state != state.rollout_states.end() &&
+        steering::era_of(last_state->second.record_version) == state.store_era) {
         expected = std::max(expected, last_state->second.record_version);
     }
     platform::store_answer answer =
