steering: a target that leaves by its answers gets no more requests from any instance

What users announced: a server that leaves says so in all its answers (a new rule binds each machine that passed one on). Cause: only the target's entry in the store counted; an entry may be late, lost or removed while the store is away. Change: an answer that announces it ends this instance's sends at once and is reported to the others like a named limit; everywhere it counts like an entry that drains. It holds for one incarnation, whatever later answers or entries say. The target's next incarnation at the same address is used again.

--- a/packages/decision/include/camphorknot/steering/target_notices.hpp
+++ b/packages/decision/include/camphorknot/steering/target_notices.hpp
@@ -19,6 +19,7 @@
 /// What one answer of a target announced.
 struct announcement {
     std::optional<double> limit_per_s{}; ///< Requests that the target takes from all instances together.
+    bool leaving = false;                ///< The target is about to end.
 };
 
 /// The newest announcement of a target to one instance.
@@ -27,6 +28,7 @@
     std::int64_t born_ms = 0; ///< Incarnation of the target.
     duration age{};           ///< Since the answer, when the notice was sent.
     double limit_per_s = -1;  ///< Negative if the answer named no limit.
+    bool leaving = false;
 };
 
 /// The newest announcements of the targets that have ever announced something.
@@ -35,13 +37,14 @@
         std::int64_t born_ms = 0;
         time_point announced_at{};
         std::optional<double> limit_per_s{};
+        bool leaving = false; ///< Holds for this incarnation from the first such answer on.
     };
     std::map<std::string, entry> targets{}; ///< By target id.
 };
 
 /// Stores the announcement of an answer to this instance. Answers without one are stored only for targets
 /// that announced something before.
-/// @return whether the target's limit changed.
+/// @return whether the target's limit changed, or it is leaving and was not known to be.
 bool on_announced(notice_table& notices, const std::string& target, std::int64_t born_ms,
                   const announcement& announced, time_point now);
 
@@ -58,6 +61,9 @@
 std::optional<double> named_limit(const notice_table& notices, const std::string& target,
                                   std::int64_t born_ms);
 
+/// @return whether this incarnation of the target has announced that it leaves.
+bool is_leaving(const notice_table& notices, const std::string& target, std::int64_t born_ms);
+
 /// Splits a named limit between the instances of the lowest ranks: few enough that the requests which each of
 /// them may send at once stay within the limit.
 /// @param rank of this instance in the target's order; empty if the instance may not send.
--- a/packages/decision/src/steering/fleet.cpp
+++ b/packages/decision/src/steering/fleet.cpp
@@ -107,7 +107,9 @@
         [](auto& newest, const auto& notice) {
             const bool is_newer =
                 notice.born_ms != newest.born_ms ? notice.born_ms > newest.born_ms : notice.age < newest.age;
+            const bool leaving = newest.born_ms == notice.born_ms && (newest.leaving || notice.leaving);
             newest = is_newer ? notice : newest;
+            newest.leaving = newest.leaving || leaving;
         });
 }
 
--- a/packages/decision/src/steering/target_notices.cpp
+++ b/packages/decision/src/steering/target_notices.cpp
@@ -19,6 +19,13 @@
     return static_cast<std::size_t>(1 + std::min(limit_per_s, max_senders));
 }
 
+// Replaces the stored announcement by a newer one of the same incarnation or by one of a later incarnation.
+void store(notice_table::entry& stored, notice_table::entry incoming)
+{
+    incoming.leaving = incoming.leaving || (stored.leaving && stored.born_ms == incoming.born_ms);
+    stored = incoming;
+}
+
 // Whether an announcement replaces the stored one.
 bool is_newer(const notice_table::entry& stored, std::int64_t born_ms, time_point announced_at)
 {
@@ -32,29 +39,31 @@
 {
     const auto found = notices.targets.find(target);
     if (found == notices.targets.end()) {
-        if (!announced.limit_per_s) {
+        if (!announced.limit_per_s && !announced.leaving) {
             return false;
         }
-        notices.targets[target] = {born_ms, now, announced.limit_per_s};
+        notices.targets[target] = {born_ms, now, announced.limit_per_s, announced.leaving};
         return true;
     }
     if (!is_newer(found->second, born_ms, now)) {
         return false;
     }
-    const bool changed = found->second.limit_per_s != announced.limit_per_s;
-    found->second = {born_ms, now, announced.limit_per_s};
-    return changed;
+    const notice_table::entry previous = found->second;
+    store(found->second, {born_ms, now, announced.limit_per_s, announced.leaving});
+    return previous.limit_per_s != found->second.limit_per_s || previous.leaving != found->second.leaving;
 }
 
 void on_notices_received(notice_table& notices, std::span<const target_notice> received, time_point now)
 {
     for (const target_notice& notice : received) {
-        const notice_table::entry incoming = {notice.born_ms, now - notice.age,
-                                              notice.limit_per_s < 0 ? std::nullopt
-                                                                     : std::optional(notice.limit_per_s)};
+        const notice_table::entry incoming = {
+            notice.born_ms, now - notice.age,
+            notice.limit_per_s < 0 ? std::nullopt : std::optional(notice.limit_per_s), notice.leaving};
         const auto [place, is_new] = notices.targets.emplace(notice.target, incoming);
         if (!is_new && is_newer(place->second, incoming.born_ms, incoming.announced_at)) {
-            place->second = incoming;
+            store(place->second, incoming);
+        } else if (place->second.born_ms == incoming.born_ms) {
+            place->second.leaving = place->second.leaving || incoming.leaving;
         }
     }
 }
@@ -63,7 +72,8 @@
 {
     std::erase_if(notices.targets, [&](const auto& item) {
         const notice_table::entry& entry = item.second;
-        return now - entry.announced_at > (entry.limit_per_s ? retention : lifted_retention);
+        const bool is_lifted = !entry.limit_per_s && !entry.leaving;
+        return now - entry.announced_at > (is_lifted ? lifted_retention : retention);
     });
 }
 
@@ -72,7 +82,8 @@
     std::vector<target_notice> reported;
     reported.reserve(notices.targets.size());
     for (const auto& [target, entry] : notices.targets) {
-        reported.push_back({target, entry.born_ms, now - entry.announced_at, entry.limit_per_s.value_or(-1)});
+        reported.push_back(
+            {target, entry.born_ms, now - entry.announced_at, entry.limit_per_s.value_or(-1), entry.leaving});
     }
     return reported;
 }
@@ -85,6 +96,12 @@
                                                                               : found->second.limit_per_s;
 }
 
+bool is_leaving(const notice_table& notices, const std::string& target, std::int64_t born_ms)
+{
+    const auto found = notices.targets.find(target);
+    return found != notices.targets.end() && found->second.born_ms == born_ms && found->second.leaving;
+}
+
 double limit_share(double limit_per_s, std::optional<std::size_t> rank)
 {
     const std::size_t senders = count_senders(limit_per_s);
--- a/packages/decision/tests/steering_notices_test.cpp
+++ b/packages/decision/tests/steering_notices_test.cpp
@@ -138,3 +138,19 @@
     waiting_request request{1, 1, start + 600ms, start + 3s};
     CHECK_FALSE(decide_wait(queue, {}, request, start, 600ms, without.preferred_room, 0.5).admitted);
 }
+
+TEST_CASE("target notices: a target that leaves stays leaving, until its next incarnation")
+{
+    notice_table notices;
+    CHECK(on_announced(notices, "i-1", 10, {std::nullopt, true}, start));
+    CHECK_FALSE(on_announced(notices, "i-1", 10, {std::nullopt, false}, start + 1s));
+    CHECK(is_leaving(notices, "i-1", 10));
+    const std::vector<target_notice> other = {{"i-2", 10, 5s, 2, true}, {"i-1", 10, 0s, -1, false}};
+    on_notices_received(notices, other, start + 2s);
+    CHECK(is_leaving(notices, "i-1", 10));
+    CHECK(is_leaving(notices, "i-2", 10));
+    CHECK(named_limit(notices, "i-2", 10) == 2.0);
+    CHECK_FALSE(is_leaving(notices, "i-1", 20));
+    on_announced(notices, "i-1", 20, {}, start + 3s);
+    CHECK_FALSE(is_leaving(notices, "i-1", 20));
+}
--- a/packages/edge/src/control.cpp
+++ b/packages/edge/src/control.cpp
@@ -97,11 +97,24 @@
     }
 }
 
-// An instance that does not see the fleet sends nothing to targets that name a limit: others may use it up.
-void assign_limits(control_state& state, traffic_view& view, time_point now)
+// A target that leaves by its answers counts like one whose entry says so.
+void apply_notices(control_state& state, time_point now)
 {
     steering::on_notices_received(state.notices, state.report.load.notices, now);
     steering::forget_old_notices(state.notices, now);
+    for (const auto& [id, notice] : state.notices.targets) {
+        const auto found = state.targets.find(id);
+        if (notice.leaving && found != state.targets.end() && !found->second.draining &&
+            found->second.born_ms == notice.born_ms) {
+            found->second.draining = true;
+            state.targets_changed = true;
+        }
+    }
+}
+
+// An instance that does not see the fleet sends nothing to targets that name a limit: others may use it up.
+void assign_limits(control_state& state, traffic_view& view, time_point now)
+{
     gauge(state.metric_registry, "camphorknot_named_limits", "")
         .store(
             static_cast<std::int64_t>(std::ranges::count_if(
@@ -125,6 +138,7 @@
 
 void publish_view(control_state& state, time_point now)
 {
+    apply_notices(state, now);
     if (state.targets_changed) {
         auto list = std::make_shared<std::vector<steering::target>>();
         for (const auto& [id, target] : state.targets) {
--- a/packages/edge/src/peer_codec.cpp
+++ b/packages/edge/src/peer_codec.cpp
@@ -50,7 +50,7 @@
 }
 auto peer_fields(const_or_mutable<target_notice> auto& value)
 {
-    return std::tie(value.target, value.born_ms, value.age, value.limit_per_s);
+    return std::tie(value.target, value.born_ms, value.age, value.limit_per_s, value.leaving);
 }
 auto peer_fields(const_or_mutable<load_report> auto& value)
 {
--- a/packages/edge/src/relay_send.cpp
+++ b/packages/edge/src/relay_send.cpp
@@ -99,6 +99,27 @@
                                 state.view.demand.possible, now);
 }
 
+// Takes over a limit that an answer named or no longer names.
+void apply_announced_limit(traffic_state& state, steering::target_state& chosen,
+                           std::optional<double> limit_per_s, time_point now)
+{
+    if (!limit_per_s) {
+        steering::set_named_limit(chosen, std::nullopt, now);
+    } else if (!chosen.is_limited) {
+        steering::set_named_limit(chosen, 0, now); // Until the control thread assigns a part of it.
+    }
+    log_event_limited(state.log, log_severity::info, limit_per_s ? "limit_named" : "limit_lifted",
+                      {{"target", chosen.entry.id}, {"per_s", std::to_string(limit_per_s.value_or(0))}});
+}
+
+void on_leaving_announced(traffic_state& state, steering::target_state& chosen)
+{
+    chosen.entry.draining = true;
+    counter(state.metric_registry, "camphorknot_leaving_notices_total", "")
+        .fetch_add(1, std::memory_order_relaxed);
+    log_event_limited(state.log, log_severity::info, "target_leaving", {{"target", chosen.entry.id}});
+}
+
 // Stores what the answer announced. An answer of another server at the target's address says nothing about
 // it.
 void store_announcement(traffic_state& state, steering::target_state& chosen, const exchange_result& result,
@@ -111,20 +132,21 @@
     if (metadata.unreadable_headers > 0) {
         counter(state.metric_registry, "camphorknot_unreadable_announcements_total", "")
             .fetch_add(metadata.unreadable_headers, std::memory_order_relaxed);
-        return;
     }
-    const steering::announcement announced{metadata.limit_per_s};
-    if (!steering::on_announced(state.notices, chosen.entry.id, chosen.entry.born_ms, announced, now)) {
-        return;
+    const std::string& id = chosen.entry.id;
+    const std::int64_t born_ms = chosen.entry.born_ms;
+    const std::optional<double> known_limit = steering::named_limit(state.notices, id, born_ms);
+    const bool was_leaving = steering::is_leaving(state.notices, id, born_ms);
+    // A header that cannot be read does not lift a limit.
+    const bool is_readable = metadata.unreadable_headers == 0 || metadata.limit_per_s;
+    const std::optional<double> limit = is_readable ? metadata.limit_per_s : known_limit;
+    steering::on_announced(state.notices, id, born_ms, {limit, metadata.leaving}, now);
+    if (limit != known_limit) {
+        apply_announced_limit(state, chosen, limit, now);
     }
-    if (!announced.limit_per_s) {
-        steering::set_named_limit(chosen, std::nullopt, now);
-    } else if (!chosen.is_limited) {
-        steering::set_named_limit(chosen, 0, now); // Until the control thread assigns a part of it.
+    if (metadata.leaving && !was_leaving) {
+        on_leaving_announced(state, chosen);
     }
-    log_event_limited(
-        state.log, log_severity::info, announced.limit_per_s ? "limit_named" : "limit_lifted",
-        {{"target", chosen.entry.id}, {"per_s", std::to_string(announced.limit_per_s.value_or(0))}});
 }
 
 void log_send(traffic_state& state, const caller_request& request, const request_plan& plan,
--- a/packages/edge/src/traffic.cpp
+++ b/packages/edge/src/traffic.cpp
@@ -166,6 +166,9 @@
         steering::on_peer_load_reported(target, found == state.view.peer_in_flight.end() ? 0 : found->second,
                                         now);
         target.is_warmup_owner = state.view.assigned_warmups.contains(id);
+        if (steering::is_leaving(state.notices, id, target.entry.born_ms)) {
+            target.entry.draining = true;
+        }
         steering::set_named_limit(target, own_limit_share(state, target.entry, now), now);
     }
     for (auto& [service, queue] : state.queues) {
--- a/packages/edge/tests/edge_announcement_test.cpp
+++ b/packages/edge/tests/edge_announcement_test.cpp
@@ -49,3 +49,22 @@
     const auto end = std::chrono::steady_clock::now();
     CHECK(most_received(limited, end - 2s, 2s) > 30);
 }
+
+TEST_CASE("edge announcement: a target that says it leaves gets nothing more from any instance")
+{
+    fleet_fixture fixture(3, 4);
+    standins::server_standin& leaving = *fixture.servers.front();
+    press(fixture, 8, 500ms);
+    standins::set_announcements(leaving, "Server-Leaving: 1\r\n");
+    press(fixture, 8, 2500ms);
+    const auto left_at = std::chrono::steady_clock::now();
+    press(fixture, 8, 2s);
+    CHECK(most_received(leaving, left_at, 4s) == 0);
+    // The next incarnation at the same address is not leaving.
+    standins::set_announcements(leaving, "");
+    fixture.register_server("i-1", leaving.port, "ready", 200);
+    CHECK(eventually([&] {
+        press(fixture, 2, 100ms);
+        return most_received(leaving, left_at, 10s) > 0;
+    }));
+}
--- a/packages/edge/tests/edge_dialect_test.cpp
+++ b/packages/edge/tests/edge_dialect_test.cpp
@@ -33,3 +33,20 @@
     CHECK(answer.count("Server-Load") == 0);
     CHECK(answer["Server-Signature"] == "s");
 }
+
+TEST_CASE("dialect: a target says that it leaves with 1, and anything else is no notice")
+{
+    const auto read_leaving = [](const std::string& text) {
+        http_response response;
+        response.set("Server-Leaving", text);
+        return read_answer_metadata(response);
+    };
+    CHECK(read_leaving("1").leaving);
+    CHECK_FALSE(read_leaving("0").leaving);
+    CHECK(read_leaving("0").unreadable_headers == 0);
+    for (const std::string text : {"", "yes", "2", "-1", "11"}) {
+        CAPTURE(text);
+        CHECK_FALSE(read_leaving(text).leaving);
+        CHECK(read_leaving(text).unreadable_headers == 1);
+    }
+}
