steering: a target that rejects with a time to come back gets nothing from this instance until then

What users announced: a server that turns a request away may say for how long it wants nothing from that machine (new rule). Cause: the time was not read. A target that rejects while it is full is at no fault and was not suspended, so that it was asked again at once, up to the limits of load. Change: the target is left out until the time ends; times that end together are spread over up to half of the time, one second at most. Its rejections are no faults. If all usable targets asked for quiet, a request waits for the first that ends in time, else it is refused at once (targets_quiet) with the time. Zero is no quiet, more than an hour is an hour; a sign, an exponent, a date or anything else is counted and ignored.

--- a/packages/client/src/explain.cpp
+++ b/packages/client/src/explain.cpp
@@ -12,7 +12,8 @@
 using nlohmann::json;
 
 // Events that change an instance's state of one target, and those that change its state of anything else.
-constexpr std::array<std::string_view, 2> target_events = {"target_seen", "target_gone"};
+constexpr std::array<std::string_view, 6> target_events = {"target_seen",  "target_gone", "target_leaving",
+                                                           "target_quiet", "limit_named", "limit_lifted"};
 constexpr std::array<std::string_view, 9> state_events = {
     "configuration_applied", "store_lost",    "store_regained",   "instance_away", "instance_heard",
     "evacuation_ordered",    "rollout_moved", "evacuation_ended", "stop_began"};
@@ -119,6 +120,10 @@
         return "The usable targets of service " + service +
                " name limits, and this instance's part of them was used up.";
     }
+    if (reason == "targets_quiet") {
+        return "The usable targets of service " + service +
+               " rejected requests and asked for none for a time.";
+    }
     if (reason == "no_target" && send != nullptr) {
         const bool refused = field(*send, "not_run") == "true";
         return (refused ? "The request was refused by " + target + " without running it"
--- a/packages/decision/include/camphorknot/steering/target_pool.hpp
+++ b/packages/decision/include/camphorknot/steering/target_pool.hpp
@@ -86,6 +86,7 @@
     send_allowance allowance;     ///< While the target is cold; a rate of zero is no limit.
     bool is_limited = false;      ///< The target names a limit; its allowance is this instance's part.
     send_allowance limit;
+    time_point quiet_until{}; ///< The target asked this instance for no requests until then.
     std::unordered_map<std::uint64_t, time_point>
         objects; ///< Last time that this instance sent an object, by its hash.
 };
@@ -130,6 +131,9 @@
     no_target, ///< No target is usable.
 };
 
+/// Why no target may be sent a request.
+enum class withheld_cause : std::uint8_t { none, limited, quiet };
+
 /// The chosen target with the expected times.
 struct placement {
     placement_outcome outcome = placement_outcome::no_target;
@@ -139,7 +143,9 @@
     duration expected_wait{};                ///< In the target's queue.
     const target_state* preferred = nullptr; ///< The target of the first rank, also if it has no capacity.
     room_estimate preferred_room{};          ///< Of that target; zero if it has capacity.
-    bool limited = false; ///< Full because all usable targets name limits, whose parts here are used up.
+    /// Why the outcome is `full` although targets may have room: all usable ones name limits, whose parts
+    /// here are used up, or asked for no requests for a time.
+    withheld_cause withheld = withheld_cause::none;
 };
 
 /// Replaces the set of targets. State is kept for unchanged incarnations; removed targets are dropped once
@@ -163,6 +169,9 @@
 /// @param per_s this instance's part of the limit; empty if the target names none.
 void set_named_limit(target_state& state, std::optional<double> per_s, time_point now);
 
+/// Sends the target no requests for @p length, as it asked. Its rejections until now are no faults.
+void set_quiet(target_state& state, duration length, time_point now);
+
 /// Selects the target with the lowest expected cost.
 placement choose_target(target_pool& pool, const placement_request& request, time_point now);
 
--- a/packages/decision/src/steering/target_pool.cpp
+++ b/packages/decision/src/steering/target_pool.cpp
@@ -56,9 +56,23 @@
     return !state.is_limited || refilled_tokens(state.limit, now) >= 1;
 }
 
-// Until this instance may send a request to a target that names a limit, and between such requests.
-room_estimate room_within_limit(const target_state& state, time_point now)
+bool is_quiet(const target_state& state, time_point now)
 {
+    return now < state.quiet_until;
+}
+
+// Whether the target itself allows a request of this instance now.
+bool is_open(const target_state& state, time_point now)
+{
+    return named_limit_allows(state, now) && !is_quiet(state, now);
+}
+
+// Until this instance may send a request to a target that is not open, and between such requests.
+room_estimate room_when_open(const target_state& state, time_point now)
+{
+    if (is_quiet(state, now)) {
+        return {state.quiet_until - now, duration{}};
+    }
     if (state.limit.rate <= 0) {
         return {max_room_delay, max_room_delay};
     }
@@ -166,7 +180,7 @@
     ranked.reserve(members.size());
     const bool ignore_shedding = is_shedding_widespread(pool, members);
     for (target_state* state : members) {
-        if (is_eligible(pool, *state, request) && named_limit_allows(*state, now) &&
+        if (is_eligible(pool, *state, request) && is_open(*state, now) &&
             !is_suspended(*state, request, now, ignore_shedding)) {
             ranked.push_back({state, mix_hash(hash_name(state->entry.id), request.object)});
         }
@@ -425,20 +439,29 @@
     state.is_limited = true;
 }
 
+void set_quiet(target_state& state, duration length, time_point now)
+{
+    state.quiet_until = std::max(state.quiet_until, now + length);
+    if (state.suspended_for_shedding) {
+        state.suspension = duration{};
+        state.consecutive_failures = 0;
+    }
+}
+
 namespace {
 
-// If the only usable targets name limits, the request waits for the one that it may be sent to first.
-void wait_for_limited_target(const target_pool& pool, std::span<target_state* const> members,
-                             const placement_request& request, time_point now, placement& best)
+// If no usable target is open, the request waits for the one that will be first.
+void wait_for_open_target(const target_pool& pool, std::span<target_state* const> members,
+                          const placement_request& request, time_point now, placement& best)
 {
     for (const target_state* state : members) {
-        if (!is_eligible(pool, *state, request) || named_limit_allows(*state, now)) {
+        if (!is_eligible(pool, *state, request) || is_open(*state, now)) {
             continue;
         }
-        const room_estimate room = room_within_limit(*state, now);
-        if (!best.limited || room.first < best.preferred_room.first) {
+        const room_estimate room = room_when_open(*state, now);
+        if (best.withheld == withheld_cause::none || room.first < best.preferred_room.first) {
             best.outcome = placement_outcome::full;
-            best.limited = true;
+            best.withheld = is_quiet(*state, now) ? withheld_cause::quiet : withheld_cause::limited;
             best.preferred = state;
             best.preferred_room = room;
         }
@@ -484,7 +507,7 @@
     best.preferred = preferred;
     best.preferred_room = preferred_room;
     if (best.outcome == placement_outcome::no_target) {
-        wait_for_limited_target(pool, found->second, request, now, best);
+        wait_for_open_target(pool, found->second, request, now, best);
     }
     return best;
 }
--- a/packages/decision/tests/steering_notices_test.cpp
+++ b/packages/decision/tests/steering_notices_test.cpp
@@ -126,7 +126,7 @@
     }
     const placement full = fixture.choose(start);
     CHECK(full.outcome == placement_outcome::full);
-    CHECK(full.limited);
+    CHECK(full.withheld == withheld_cause::limited);
     REQUIRE(full.preferred != nullptr);
     CHECK(full.preferred->entry.id == "i-1");
     CHECK(full.preferred_room.first == 250ms);
@@ -154,3 +154,20 @@
     on_announced(notices, "i-1", 20, {}, start + 3s);
     CHECK_FALSE(is_leaving(notices, "i-1", 20));
 }
+
+TEST_CASE("placement: a target that asked for quiet gets nothing until then; its load goes to the others")
+{
+    limited_pool fixture;
+    set_quiet(fixture.pool.targets.at("i-1"), 2s, start);
+    for (int step = 0; step < 40; ++step) {
+        CHECK(fixture.choose(start + step * 50ms).chosen->entry.id == "i-2");
+    }
+    // A shorter time does not end the longer one.
+    set_quiet(fixture.pool.targets.at("i-1"), 100ms, start + 1s);
+    set_quiet(fixture.pool.targets.at("i-2"), 5s, start + 1s);
+    const placement quiet = fixture.choose(start + 1500ms);
+    CHECK(quiet.outcome == placement_outcome::full);
+    CHECK(quiet.withheld == withheld_cause::quiet);
+    CHECK(quiet.preferred_room.first == 500ms);
+    CHECK(fixture.choose(start + 2s).chosen->entry.id == "i-1");
+}
--- a/packages/edge/src/relay_search.cpp
+++ b/packages/edge/src/relay_search.cpp
@@ -98,6 +98,19 @@
     co_return has_time && !request->caller_left;
 }
 
+std::string_view reason_of(const steering::placement& placement)
+{
+    switch (placement.withheld) {
+    case steering::withheld_cause::limited:
+        return "targets_limited";
+    case steering::withheld_cause::quiet:
+        return "targets_quiet";
+    case steering::withheld_cause::none:
+        break;
+    }
+    return "targets_full";
+}
+
 platform::http_response refuse_placement(traffic_state& state, const caller_request& request,
                                          const request_plan& plan, std::string_view reason,
                                          duration retry_after)
@@ -166,16 +179,15 @@
             co_return outcome;
         }
         const steering::room_estimate room =
-            plan.object || outcome.placement.limited
+            plan.object || outcome.placement.withheld != steering::withheld_cause::none
                 ? outcome.placement.preferred_room
                 : steering::room_from_rate(state.pool.profiles[plan.service].completions_per_s);
         const steering::wait_decision decision =
             steering::decide_wait(queue.order, state.queue_tuning, entry, now, plan.route->objective, room,
                                   uniform_real(state.random));
         if (!decision.admitted) {
-            outcome.refusal = refuse_placement(state, *request, plan,
-                                               outcome.placement.limited ? "targets_limited" : "targets_full",
-                                               decision.retry_after);
+            outcome.refusal =
+                refuse_placement(state, *request, plan, reason_of(outcome.placement), decision.retry_after);
             co_return outcome;
         }
         const bool is_turn =
--- a/packages/edge/src/relay_send.cpp
+++ b/packages/edge/src/relay_send.cpp
@@ -112,6 +112,20 @@
                       {{"target", chosen.entry.id}, {"per_s", std::to_string(limit_per_s.value_or(0))}});
 }
 
+// Targets that ask for quiet at the same time are not all sent requests again at the same time.
+void keep_quiet(traffic_state& state, steering::target_state& chosen, duration asked, time_point now)
+{
+    constexpr duration max_spread = std::chrono::seconds(1);
+    const double spread_s = std::chrono::duration<double>(std::min(asked / 2, max_spread)).count();
+    const auto spread = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(spread_s * uniform_real(state.random)));
+    steering::set_quiet(chosen, asked + spread, now);
+    counter(state.metric_registry, "camphorknot_quiet_periods_total", "")
+        .fetch_add(1, std::memory_order_relaxed);
+    log_event_limited(state.log, log_severity::info, "target_quiet",
+                      {{"target", chosen.entry.id}, {"asked_ms", to_ms(asked)}});
+}
+
 void on_leaving_announced(traffic_state& state, steering::target_state& chosen)
 {
     chosen.entry.draining = true;
@@ -129,6 +143,9 @@
     if (result.outcome != exchange_outcome::answered || metadata.replaced) {
         return;
     }
+    if (metadata.quiet_time > duration{}) {
+        keep_quiet(state, chosen, metadata.quiet_time, now);
+    }
     if (metadata.unreadable_headers > 0) {
         counter(state.metric_registry, "camphorknot_unreadable_announcements_total", "")
             .fetch_add(metadata.unreadable_headers, std::memory_order_relaxed);
--- a/packages/edge/tests/edge_announcement_test.cpp
+++ b/packages/edge/tests/edge_announcement_test.cpp
@@ -68,3 +68,22 @@
         return most_received(leaving, left_at, 10s) > 0;
     }));
 }
+
+TEST_CASE("edge announcement: a target that rejects and asks for quiet gets at most two more requests")
+{
+    fleet_fixture fixture(3, 1);
+    standins::server_standin& rejecting = *fixture.servers.front();
+    rejecting.default_behavior = standins::server_behavior::shed;
+    // A full target is at no fault, so that it is not suspended.
+    standins::set_announcements(rejecting, "Retry-After: 3\r\nServer-Load: 4,2,4\r\n");
+    press(fixture, 8, 300ms);
+    const auto asked_at = std::chrono::steady_clock::now();
+    press(fixture, 8, 2400ms);
+    CHECK(most_received(rejecting, asked_at + 500ms, 4s) <= 2);
+    CHECK(standins::received_requests(*fixture.servers.back()).size() > 50);
+    // It is tried again afterwards.
+    CHECK(eventually([&] {
+        press(fixture, 2, 100ms);
+        return most_received(rejecting, asked_at + 2500ms, 10s) > 0;
+    }));
+}
--- a/packages/edge/tests/edge_dialect_test.cpp
+++ b/packages/edge/tests/edge_dialect_test.cpp
@@ -34,6 +34,29 @@
     CHECK(answer["Server-Signature"] == "s");
 }
 
+TEST_CASE("dialect: a rejection names the time for which the target wants no requests")
+{
+    const auto read_rejection = [](const std::string& text) {
+        http_response response;
+        response.result(503);
+        response.set("Retry-After", text);
+        return read_answer_metadata(response);
+    };
+    using namespace std::chrono_literals;
+    CHECK(read_rejection("2").quiet_time == 2s);
+    CHECK(read_rejection("0.25").quiet_time == 250ms);
+    CHECK(read_rejection("0").quiet_time == 0s);
+    CHECK(read_rejection("99999999999999999999").quiet_time == 1h);
+    for (const std::string text : {"-3", "soon", "Fri, 04 Dec 2026 10:00:00 GMT", "", "1e9", "nan"}) {
+        CAPTURE(text);
+        CHECK(read_rejection(text).quiet_time == 0s);
+        CHECK(read_rejection(text).unreadable_headers == 1);
+    }
+    http_response success;
+    success.set("Retry-After", "2");
+    CHECK(read_answer_metadata(success).quiet_time == 0s);
+}
+
 TEST_CASE("dialect: a target says that it leaves with 1, and anything else is no notice")
 {
     const auto read_leaving = [](const std::string& text) {
