--- a/packages/edge/tests/fleet_fixture.hpp
+++ b/packages/edge/tests/fleet_fixture.hpp
@@ -51,6 +51,7 @@
     const auto end = std::chrono::steady_clock::now() + time;
     std::atomic<int> next{0};
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(callers));
     for (int number = 0; number < callers; ++number) {
         threads.emplace_back([&] {
             while (std::chrono::steady_clock::now() < end) {
