steering: an instance without a configuration does not ask a second source early

Found while reading the change: the expected time of a copy follows from the size of the own one, which an instance that starts does not have. It would have asked another instance every 0.4 s, each of which sends the whole configuration over the same link.

--- a/packages/decision/src/steering/record_requests.cpp
+++ b/packages/decision/src/steering/record_requests.cpp
@@ -68,13 +68,13 @@
     if (group != collection::orders) {
         return small_answer_timeout;
     }
-    if (link_mbps == 0) {
-        return max_orders_timeout;
-    }
     std::size_t bytes = 0;
     for (const auto& [key, entry] : records_of(replica, group).records) {
         bytes += entry.value.size();
     }
+    if (bytes == 0 || link_mbps == 0) {
+        return max_orders_timeout;
+    }
     const double seconds = concurrent_copies * 8 * static_cast<double>(bytes) / (1e6 * link_mbps);
     return std::min(max_orders_timeout, min_orders_timeout + std::chrono::duration_cast<duration>(
                                                                  std::chrono::duration<double>(seconds)));
--- a/packages/decision/tests/steering_records_test.cpp
+++ b/packages/decision/tests/steering_records_test.cpp
@@ -211,6 +211,7 @@
 TEST_CASE("records: another source is asked when the copy takes longer than its size explains")
 {
     record_replica replica;
+    CHECK(expected_answer_time(replica, collection::orders, 200) == 2s);
     records_of(replica, collection::orders).records["config"].value.assign(std::size_t{250} * 1024, 'a');
     CHECK(expected_answer_time(replica, collection::orders, 200) < 1s);
     CHECK(expected_answer_time(replica, collection::orders, 20) >= 500ms);
