--- a/packages/decision/include/camphorknot/steering/record_requests.hpp
+++ b/packages/decision/include/camphorknot/steering/record_requests.hpp
@@ -38,7 +38,8 @@
 bool is_best_source(const record_source& peer, std::span<const record_source> others,
                     const record_source& own, duration faster_behind_for);
 
-/// @return the time after which another peer is asked, from the size of the own copy; the longest without one.
+/// @return the time after which another peer is asked, from the size of the own copy; the longest without
+/// one.
 /// @param link_mbps of the peer that was asked; zero if unknown.
 duration expected_answer_time(const record_replica& replica, collection group, std::uint32_t link_mbps);
 
