--- a/packages/decision/include/camphorknot/steering/target_notices.hpp
+++ b/packages/decision/include/camphorknot/steering/target_notices.hpp
@@ -2,8 +2,8 @@
 /// What targets announce with their answers, shared between the instances, and each instance's part of a
 /// limit that a target named.
 ///
-/// An instance reports only what it was told itself: a notice that is passed on again and again would never
-/// grow old.
+/// An instance reports only what targets announced to it: a notice that is passed on again and again would
+/// never grow old.
 #pragma once
 
 #include <map>
--- a/packages/decision/tests/steering_notices_test.cpp
+++ b/packages/decision/tests/steering_notices_test.cpp
@@ -69,7 +69,7 @@
     CHECK_FALSE(named_limit(notices, "i-1", 20));
 }
 
-TEST_CASE("target notices: notices that nobody confirms are dropped")
+TEST_CASE("target notices: notices that no answer confirms are dropped")
 {
     notice_table notices;
     on_announced(notices, "i-1", 10, {1.5}, start);
--- a/packages/decision/tests/steering_records_test.cpp
+++ b/packages/decision/tests/steering_records_test.cpp
@@ -278,7 +278,7 @@
         apply_update(replica, {collection::orders, false, {make_record("kept", "z", 70)}, {70, 12}}).empty());
     // An instance that has not seen the new era gets a snapshot.
     CHECK(changes_since(replica, collection::orders, {61, 11}).is_snapshot);
-    // What nobody has written again is removed by the next snapshot.
+    // What was not written again is removed by the next snapshot.
     apply_update(replica, {collection::orders,
                            true,
                            {make_record("kept", "c", make_version(1, 45))},
--- a/packages/edge/tests/edge_rollout_test.cpp
+++ b/packages/edge/tests/edge_rollout_test.cpp
@@ -47,9 +47,9 @@
 }
 
 /// Sends requests one after the other in each of @p callers threads, for @p time.
-/// @param patience after which a caller closes its connection.
+/// @param limit after which a caller closes its connection.
 void press(const edge_fixture& fixture, int callers, std::chrono::milliseconds time,
-           std::chrono::milliseconds patience = 5s)
+           std::chrono::milliseconds limit = 5s)
 {
     const auto end = std::chrono::steady_clock::now() + time;
     std::atomic<int> next{0};
@@ -62,7 +62,7 @@
                 caller connection(fixture.settings.front.port);
                 http::write(connection.stream, make_request(http::verb::get, "/find/" + id, "p" + id));
                 caller_response response;
-                connection.stream.expires_after(patience);
+                connection.stream.expires_after(limit);
                 boost::system::error_code ended;
                 http::async_read(connection.stream, connection.buffer, response,
                                  [&](boost::system::error_code error, std::size_t) { ended = error; });
