--- a/packages/decision/include/camphorknot/steering.hpp
+++ b/packages/decision/include/camphorknot/steering.hpp
@@ -9,6 +9,7 @@
 #include "camphorknot/steering/rate_shares.hpp"
 #include "camphorknot/steering/record_replica.hpp"
 #include "camphorknot/steering/record_requests.hpp"
+#include "camphorknot/steering/request_identity.hpp"
 #include "camphorknot/steering/retry_budget.hpp"
 #include "camphorknot/steering/rollout_pacer.hpp"
 #include "camphorknot/steering/route_table.hpp"
--- a/packages/edge/src/relay_send.cpp
+++ b/packages/edge/src/relay_send.cpp
@@ -1,6 +1,7 @@
 // One send to a target, the updates that its outcome causes, and whether the request may be retried.
 #include <array>
 
+#include "identity.hpp"
 #include "relay.hpp"
 
 namespace camphorknot::edge {
@@ -173,25 +174,33 @@
     constexpr std::array<std::string_view, 5> outcome_names = {"answered", "not_connected", "broken",
                                                                "timed_out", "abandoned"};
     const bool failed = result.outcome != exchange_outcome::answered || result.response.result_int() >= 400;
-    log_event_limited(
-        state.log, failed ? log_severity::warning : log_severity::info,
-        failed ? "send_failed" : "send_answered",
-        {{"request", request.metadata.attempt},
-         {"route", plan.route->name},
-         {"service", plan.service},
-         {"target", target.id},
-         {"domain", target.failure_domain},
-         {"object", request.metadata.object.value_or("")},
-         {"end", std::string(outcome_names.at(static_cast<std::size_t>(result.outcome)))},
-         {"status",
-          std::to_string(result.outcome == exchange_outcome::answered ? result.response.result_int() : 0)},
-         {"not_run", result.metadata.not_run ? "true" : "false"},
-         {"expected_warm", warm ? "true" : "false"},
-         {"new_connection", result.new_connection ? "true" : "false"},
-         {"took_ms", to_ms(elapsed)},
-         {"repeats", should_retry ? "true" : "false"},
-         {"configuration", std::to_string(plan.routes->source->version)}});
+    std::vector<log_field> fields = {
+        {"request", request.metadata.attempt},
+        {"route", plan.route->name},
+        {"service", plan.service},
+        {"target", target.id},
+        {"domain", target.failure_domain},
+        {"object", request.metadata.object.value_or("")},
+        {"end", std::string(outcome_names.at(static_cast<std::size_t>(result.outcome)))},
+        {"status",
+         std::to_string(result.outcome == exchange_outcome::answered ? result.response.result_int() : 0)},
+        {"not_run", result.metadata.not_run ? "true" : "false"},
+        {"expected_warm", warm ? "true" : "false"},
+        {"new_connection", result.new_connection ? "true" : "false"},
+        {"took_ms", to_ms(elapsed)},
+        {"repeats", should_retry ? "true" : "false"},
+        {"configuration", std::to_string(plan.routes->source->version)}};
+    if (result.outcome == exchange_outcome::broken) {
+        const std::string_view customer =
+            plan.customer == nullptr ? std::string_view() : std::string_view(plan.customer->name);
+        fields.push_back({"identity", steering::format_identity(compute_identity(
+                                          request.message, request.metadata.host, customer))});
+        fields.push_back({"error", result.error});
+    }
+    log_event_limited(state.log, failed ? log_severity::warning : log_severity::info,
+                      failed ? "send_failed" : "send_answered", std::move(fields));
 }
+
 } // namespace
 
 asio::awaitable<send_outcome> send_once(traffic_state& state, std::shared_ptr<caller_request> request,
--- a/packages/edge/src/target_exchange.cpp
+++ b/packages/edge/src/target_exchange.cpp
@@ -265,6 +265,7 @@
     if (outcome.error || !outcome.matches_request) {
         result.outcome =
             outcome.error == beast::error::timeout ? exchange_outcome::timed_out : exchange_outcome::broken;
+        result.error = outcome.error ? outcome.error.message() : "answer to another request";
         close_connection(*connection);
         co_return result;
     }
--- a/packages/edge/src/target_exchange.hpp
+++ b/packages/edge/src/target_exchange.hpp
@@ -56,6 +56,7 @@
     exchange_outcome outcome = exchange_outcome::not_connected;
     platform::http_response response;
     platform::answer_metadata metadata;
+    std::string error; ///< Why a `broken` exchange ended.
     bool new_connection = false;
     duration connect_time{};
 };
