--- /dev/null
+++ b/packages/decision/include/camphorknot/steering/crash_verdicts.hpp
@@ -0,0 +1,127 @@
+/// @file
+/// Requests that crash the targets that run them: the evidence that the instances collect and share, and the
+/// verdicts that follow from it.
+///
+/// An item of evidence is a target incarnation that ended while it ran a request. Evidence merges in any
+/// order, and an item that arrives twice counts once. Verdicts are a function of the evidence, so that all
+/// instances with the same evidence refuse the same requests.
+#pragma once
+
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "camphorknot/core.hpp"
+#include "camphorknot/steering/request_identity.hpp"
+
+namespace camphorknot::steering {
+
+/// A request under one version of a service's targets; another version may handle it well.
+struct suspect_key {
+    request_identity request;
+    std::string service{};
+    std::string version{};
+    auto operator<=>(const suspect_key&) const = default;
+};
+
+/// A target incarnation that ended while it ran a request.
+struct ended_run {
+    std::string target{};
+    std::int64_t born_ms = 0; ///< As in target::born_ms.
+    time_point sent_at{};
+    time_point ended_at{};
+};
+
+/// A request that was running when targets ended.
+struct crash_suspect {
+    std::vector<ended_run> runs{}; ///< At most one per target incarnation; in the order of their ends.
+    bool cleared = false;          ///< A target has answered the request.
+    time_point last_seen{};        ///< Last end of a run or refusal.
+    time_point changed_at{};       ///< Last change of `runs` or `cleared` at this instance.
+    time_point condemned_until{};  ///< Derived from the runs of all suspects.
+};
+
+/// Limits of the evidence, and when it suffices.
+struct crash_tuning {
+    /// Runs, each sent after the target of the one before had ended, after which a request is condemned.
+    std::size_t runs_to_condemn = 3;
+    /// Length of the first verdict. Each further run multiplies it, up to the maximum: a request that comes
+    /// again all day reaches few targets, and a wrong verdict does not last.
+    duration first_verdict = std::chrono::minutes(2);
+    int verdict_factor = 10;
+    duration max_verdict = std::chrono::hours(24);
+    /// Suspects that are not condemned are forgotten after this time without a further run.
+    duration suspicion_retention = std::chrono::minutes(10);
+    std::size_t max_suspects = 512;
+    std::size_t max_runs = 16; ///< Per suspect.
+};
+
+/// All suspects known to this instance.
+struct crash_table {
+    crash_tuning tuning;
+    std::map<suspect_key, crash_suspect> suspects{};
+    std::map<std::uint64_t, std::size_t> outlines{}; ///< Number of suspects by request_identity::outline.
+};
+
+/// A suspect as told to other instances, with ages instead of times.
+struct crash_report {
+    struct run {
+        std::string target{};
+        std::int64_t born_ms = 0;
+        duration sent_age{};
+        duration ended_age{};
+    };
+    suspect_key key{};
+    bool cleared = false;
+    duration last_seen_age{};
+    std::vector<run> runs{};
+};
+
+/// What is known of a request.
+enum class crash_standing : std::uint8_t {
+    unknown,   ///< Not running when a target ended, or answered since.
+    suspected, ///< Running when a target ended.
+    condemned, ///< To be refused.
+};
+
+/// @return whether a request with this outline may be a suspect. Without it no identity has to be computed.
+bool has_outline(const crash_table& table, std::uint64_t outline);
+
+/// Stores that a target ended while it ran the request.
+/// @return whether this is news.
+bool on_run_ended(crash_table& table, const suspect_key& key, const ended_run& run, time_point now);
+
+/// Stores that a target of @p key's version answered the request, which clears it if it is a suspect.
+/// @return whether this is news.
+bool on_suspect_answered(crash_table& table, const suspect_key& key, time_point now);
+
+/// Stores that a condemned request came again, to be remembered for longer.
+void on_condemned_refused(crash_table& table, const request_identity& request, std::string_view service,
+                          time_point now);
+
+/// Merges the evidence of another instance.
+/// @return whether there was news.
+bool on_crash_reports_received(crash_table& table, std::span<const crash_report> reports, time_point now);
+
+/// @return the standing of the request at targets of the version.
+crash_standing standing_of(const crash_table& table, const suspect_key& key, time_point now);
+
+/// @return whether the request is a suspect or condemned at any version of the service.
+bool is_suspected(const crash_table& table, const request_identity& request, std::string_view service);
+
+/// @return the time until the last verdict on the request ends, over the versions of the service; zero
+/// without a verdict.
+duration condemned_for(const crash_table& table, const request_identity& request, std::string_view service,
+                       time_point now);
+
+/// Drops suspects whose time is over.
+void forget_old_suspects(crash_table& table, time_point now);
+
+/// @return the suspects that changed after @p since, as reports; at most @p max_count, those with the most
+/// runs first.
+std::vector<crash_report> crash_reports(const crash_table& table, time_point since, std::size_t max_count,
+                                        time_point now);
+
+} // namespace camphorknot::steering
--- a/packages/decision/include/camphorknot/steering/fleet.hpp
+++ b/packages/decision/include/camphorknot/steering/fleet.hpp
@@ -9,6 +9,7 @@
 
 #include <span>
 
+#include "camphorknot/steering/crash_verdicts.hpp"
 #include "camphorknot/steering/model.hpp"
 #include "camphorknot/steering/record_replica.hpp"
 #include "camphorknot/steering/record_requests.hpp"
@@ -84,6 +85,7 @@
     load_report load{};
     std::vector<instance_contact>
         contacts{}; ///< Instances of the failure domain that it receives statuses from.
+    std::vector<crash_report> crashes{}; ///< News, and at times all that the sender knows.
 };
 
 /// Summary that the delegate of a failure domain sends to the other failure domains.
@@ -97,6 +99,7 @@
     record_positions positions{};
     load_report load{};
     std::vector<instance_contact> members{}; ///< Alive and not leaving.
+    std::vector<crash_report> crashes{};     ///< As in instance_status.
 };
 
 /// Timeouts of fleet membership.
--- /dev/null
+++ b/packages/decision/src/steering/crash_verdicts.cpp
@@ -0,0 +1,319 @@
+#include "camphorknot/steering/crash_verdicts.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace camphorknot::steering {
+namespace {
+
+using suspect_entry = std::pair<const suspect_key, crash_suspect>;
+using target_incarnation = std::pair<std::string, std::int64_t>;
+
+// Times derived from another instance's ages differ by the delay of the message.
+constexpr duration min_time_difference = std::chrono::seconds(60);
+
+target_incarnation incarnation_of(const ended_run& run)
+{
+    return {run.target, run.born_ms};
+}
+
+// Runs of which each was sent after the end of the one before. Copies of a request that ran at the same time
+// say no more than one: a group of targets may have ended together.
+std::vector<const ended_run*> consecutive_runs(const crash_suspect& suspect,
+                                               const std::set<target_incarnation>& explained)
+{
+    std::vector<const ended_run*> consecutive;
+    for (const ended_run& run : suspect.runs) {
+        const bool follows = consecutive.empty() || run.sent_at >= consecutive.back()->ended_at;
+        if (follows && !explained.contains(incarnation_of(run))) {
+            consecutive.push_back(&run);
+        }
+    }
+    return consecutive;
+}
+
+bool has_run(const crash_suspect& suspect, const ended_run& run)
+{
+    return std::ranges::any_of(
+        suspect.runs, [&](const ended_run& stored) { return incarnation_of(stored) == incarnation_of(run); });
+}
+
+// Whether another request was running at all of these ends as well, so that either may be the cause.
+bool has_rival(const crash_table& table, const suspect_key& key, std::span<const ended_run* const> runs)
+{
+    return std::ranges::any_of(table.suspects, [&](const suspect_entry& other) {
+        const bool is_other = other.first.request != key.request && !other.second.cleared &&
+                              other.second.condemned_until == time_point{};
+        return is_other &&
+               std::ranges::all_of(runs, [&](const ended_run* run) { return has_run(other.second, *run); });
+    });
+}
+
+bool is_condemned_elsewhere(const crash_table& table, const suspect_key& key)
+{
+    return std::ranges::any_of(table.suspects, [&](const suspect_entry& other) {
+        return other.first.request == key.request && other.first.service == key.service &&
+               other.first.version != key.version && other.second.condemned_until != time_point{};
+    });
+}
+
+duration verdict_length(const crash_tuning& tuning, std::size_t further_runs)
+{
+    duration length = tuning.first_verdict;
+    for (std::size_t run = 0; run < further_runs && length < tuning.max_verdict; ++run) {
+        length *= tuning.verdict_factor;
+    }
+    return std::min(length, tuning.max_verdict);
+}
+
+// The suspect with the most consecutive runs among those whose evidence suffices, with these runs.
+std::pair<suspect_entry*, std::vector<const ended_run*>>
+find_next_verdict(crash_table& table, const std::set<target_incarnation>& explained)
+{
+    std::pair<suspect_entry*, std::vector<const ended_run*>> next = {nullptr, {}};
+    for (suspect_entry& entry : table.suspects) {
+        if (entry.second.cleared || entry.second.condemned_until != time_point{}) {
+            continue;
+        }
+        std::vector<const ended_run*> runs = consecutive_runs(entry.second, explained);
+        // One run at a further version suffices for a request that crashed the targets of another one.
+        const std::size_t needed =
+            is_condemned_elsewhere(table, entry.first) ? 1 : table.tuning.runs_to_condemn;
+        if (runs.size() >= needed && runs.size() > next.second.size() &&
+            !has_rival(table, entry.first, runs)) {
+            next = {&entry, std::move(runs)};
+        }
+    }
+    return next;
+}
+
+// The ends at which a condemned request was running say nothing about the requests beside it.
+void update_verdicts(crash_table& table)
+{
+    for (auto& [key, suspect] : table.suspects) {
+        suspect.condemned_until = time_point{};
+    }
+    std::set<target_incarnation> explained;
+    while (true) {
+        const auto [entry, runs] = find_next_verdict(table, explained);
+        if (entry == nullptr) {
+            return;
+        }
+        const std::size_t further_runs = runs.size() - std::min(runs.size(), table.tuning.runs_to_condemn);
+        entry->second.condemned_until = runs.back()->ended_at + verdict_length(table.tuning, further_runs);
+        for (const ended_run& run : entry->second.runs) {
+            explained.insert(incarnation_of(run));
+        }
+    }
+}
+
+void erase_suspect(crash_table& table, std::map<suspect_key, crash_suspect>::iterator position)
+{
+    const auto outline = table.outlines.find(position->first.request.outline);
+    if (outline != table.outlines.end() && --outline->second == 0) {
+        table.outlines.erase(outline);
+    }
+    table.suspects.erase(position);
+}
+
+// Makes room for a suspect: the one with the fewest runs goes, the oldest among these.
+void evict_suspect(crash_table& table)
+{
+    const auto rank = [](const suspect_entry& entry) {
+        return std::pair(entry.second.cleared ? 0 : entry.second.runs.size(), entry.second.changed_at);
+    };
+    const auto weakest = std::ranges::min_element(
+        table.suspects, [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
+    erase_suspect(table, weakest);
+}
+
+crash_suspect& find_or_add(crash_table& table, const suspect_key& key)
+{
+    const auto found = table.suspects.find(key);
+    if (found != table.suspects.end()) {
+        return found->second;
+    }
+    if (table.suspects.size() >= table.tuning.max_suspects) {
+        evict_suspect(table);
+    }
+    ++table.outlines[key.request.outline];
+    return table.suspects[key];
+}
+
+// Whether the run was added, or its stored times were replaced by earlier ones, which have fewer delays in
+// them.
+bool add_run(const crash_tuning& tuning, crash_suspect& suspect, const ended_run& run)
+{
+    const auto stored = std::ranges::find_if(
+        suspect.runs, [&](const ended_run& other) { return incarnation_of(other) == incarnation_of(run); });
+    if (stored != suspect.runs.end()) {
+        stored->sent_at = std::min(stored->sent_at, run.sent_at);
+        stored->ended_at = std::min(stored->ended_at, run.ended_at);
+        return false;
+    }
+    if (suspect.runs.size() >= tuning.max_runs) {
+        return false;
+    }
+    suspect.runs.push_back(run);
+    std::ranges::sort(suspect.runs, {}, &ended_run::ended_at);
+    return true;
+}
+
+// Calls `visit` with the suspect of each version of the service.
+void for_each_version(auto& table, const request_identity& request, std::string_view service, auto visit)
+{
+    const suspect_key first = {request, std::string(service), {}};
+    for (auto position = table.suspects.lower_bound(first); position != table.suspects.end(); ++position) {
+        if (position->first.request != request || position->first.service != service) {
+            return;
+        }
+        visit(position->second);
+    }
+}
+
+ended_run to_run(const crash_report::run& reported, time_point now)
+{
+    return {reported.target, reported.born_ms, now - reported.sent_age, now - reported.ended_age};
+}
+
+crash_report to_report(const suspect_entry& entry, time_point now)
+{
+    crash_report report{entry.first, entry.second.cleared, now - entry.second.last_seen, {}};
+    for (const ended_run& run : entry.second.runs) {
+        report.runs.push_back({run.target, run.born_ms, now - run.sent_at, now - run.ended_at});
+    }
+    return report;
+}
+
+} // namespace
+
+bool has_outline(const crash_table& table, std::uint64_t outline)
+{
+    return table.outlines.contains(outline);
+}
+
+bool on_run_ended(crash_table& table, const suspect_key& key, const ended_run& run, time_point now)
+{
+    crash_suspect& suspect = find_or_add(table, key);
+    suspect.last_seen = std::max(suspect.last_seen, run.ended_at);
+    if (!add_run(table.tuning, suspect, run)) {
+        return false;
+    }
+    suspect.changed_at = now;
+    update_verdicts(table);
+    return true;
+}
+
+bool on_suspect_answered(crash_table& table, const suspect_key& key, time_point now)
+{
+    const auto found = table.suspects.find(key);
+    if (found == table.suspects.end() || found->second.cleared) {
+        return false;
+    }
+    found->second.cleared = true;
+    found->second.changed_at = now;
+    update_verdicts(table);
+    return true;
+}
+
+void on_condemned_refused(crash_table& table, const request_identity& request, std::string_view service,
+                          time_point now)
+{
+    for_each_version(table, request, service, [&](crash_suspect& suspect) { suspect.last_seen = now; });
+}
+
+bool on_crash_reports_received(crash_table& table, std::span<const crash_report> reports, time_point now)
+{
+    bool changed = false;
+    for (const crash_report& report : reports) {
+        if (report.last_seen_age > table.tuning.max_verdict) {
+            continue;
+        }
+        crash_suspect& suspect = find_or_add(table, report.key);
+        bool suspect_changed = report.cleared && !suspect.cleared;
+        suspect.cleared = suspect.cleared || report.cleared;
+        for (const crash_report::run& reported : report.runs) {
+            suspect_changed = add_run(table.tuning, suspect, to_run(reported, now)) || suspect_changed;
+        }
+        const time_point seen = now - report.last_seen_age;
+        if (seen > suspect.last_seen + min_time_difference || suspect.last_seen == time_point{}) {
+            suspect.last_seen = seen;
+        }
+        if (suspect_changed) {
+            suspect.changed_at = now;
+            changed = true;
+        }
+    }
+    if (changed) {
+        update_verdicts(table);
+    }
+    return changed;
+}
+
+crash_standing standing_of(const crash_table& table, const suspect_key& key, time_point now)
+{
+    const auto found = table.suspects.find(key);
+    if (found == table.suspects.end() || found->second.cleared) {
+        return crash_standing::unknown;
+    }
+    return now < found->second.condemned_until ? crash_standing::condemned : crash_standing::suspected;
+}
+
+bool is_suspected(const crash_table& table, const request_identity& request, std::string_view service)
+{
+    bool suspected = false;
+    for_each_version(table, request, service,
+                     [&](const crash_suspect& suspect) { suspected = suspected || !suspect.cleared; });
+    return suspected;
+}
+
+duration condemned_for(const crash_table& table, const request_identity& request, std::string_view service,
+                       time_point now)
+{
+    duration left{};
+    for_each_version(table, request, service, [&](const crash_suspect& suspect) {
+        left = std::max(left, suspect.condemned_until - now);
+    });
+    return left;
+}
+
+void forget_old_suspects(crash_table& table, time_point now)
+{
+    bool changed = false;
+    for (auto position = table.suspects.begin(); position != table.suspects.end();) {
+        const auto current = position++;
+        const crash_suspect& suspect = current->second;
+        const duration retention = suspect.condemned_until == time_point{} ? table.tuning.suspicion_retention
+                                                                           : table.tuning.max_verdict;
+        if (now - suspect.last_seen > retention) {
+            erase_suspect(table, current);
+            changed = true;
+        }
+    }
+    if (changed) {
+        update_verdicts(table);
+    }
+}
+
+std::vector<crash_report> crash_reports(const crash_table& table, time_point since, std::size_t max_count,
+                                        time_point now)
+{
+    std::vector<const suspect_entry*> changed;
+    for (const suspect_entry& entry : table.suspects) {
+        if (entry.second.changed_at > since) {
+            changed.push_back(&entry);
+        }
+    }
+    std::ranges::stable_sort(changed, [](const suspect_entry* a, const suspect_entry* b) {
+        return a->second.runs.size() > b->second.runs.size();
+    });
+    changed.resize(std::min(changed.size(), max_count));
+    std::vector<crash_report> reports;
+    reports.reserve(changed.size());
+    for (const suspect_entry* entry : changed) {
+        reports.push_back(to_report(*entry, now));
+    }
+    return reports;
+}
+
+} // namespace camphorknot::steering
--- a/packages/decision/src/steering/fleet.cpp
+++ b/packages/decision/src/steering/fleet.cpp
@@ -432,6 +432,7 @@
         summary.members.push_back(contact_of(status->identity));
     }
     summary.load = to_report(sums);
+    summary.crashes = own.crashes;
     return summary;
 }
 
--- /dev/null
+++ b/packages/decision/tests/steering_crash_verdicts_test.cpp
@@ -0,0 +1,223 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+#include "camphorknot/steering/crash_verdicts.hpp"
+
+using namespace camphorknot;
+using namespace camphorknot::steering;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point start = time_point{} + 1h;
+
+suspect_key key_of(std::uint64_t request, const std::string& version = "v1")
+{
+    return {{request, request, request}, "desk", version};
+}
+
+ended_run run_at(const std::string& target, duration sent, duration ended)
+{
+    return {target, 1, start + sent, start + ended};
+}
+
+bool is_condemned(const crash_table& table, const suspect_key& key, duration at)
+{
+    return standing_of(table, key, start + at) == crash_standing::condemned;
+}
+
+// The request ends one target after the other, a second each.
+void end_targets(crash_table& table, const suspect_key& key, int count, const std::string& prefix = "t")
+{
+    for (int number = 0; number < count; ++number) {
+        const auto sent = std::chrono::seconds(number);
+        on_run_ended(table, key, run_at(prefix + std::to_string(number), sent, sent + 500ms),
+                     start + sent + 500ms);
+    }
+}
+
+std::vector<crash_report> all_reports(const crash_table& table, duration at)
+{
+    return crash_reports(table, time_point::min(), 1000, start + at);
+}
+
+} // namespace
+
+TEST_CASE(
+    "crash verdicts: a request is condemned once three targets have ended under it, one after the other")
+{
+    crash_table table;
+    end_targets(table, key_of(1), 2);
+    CHECK(standing_of(table, key_of(1), start + 2s) == crash_standing::suspected);
+    end_targets(table, key_of(1), 3);
+    CHECK(is_condemned(table, key_of(1), 3s));
+    CHECK(standing_of(table, key_of(2), start + 3s) == crash_standing::unknown);
+    CHECK(has_outline(table, 1));
+    CHECK_FALSE(has_outline(table, 2));
+}
+
+TEST_CASE("crash verdicts: targets that end together say no more than one")
+{
+    crash_table table;
+    for (const std::string target : {"a", "b", "c", "d"}) {
+        on_run_ended(table, key_of(1), run_at(target, 0ms, 500ms), start + 500ms);
+    }
+    CHECK_FALSE(is_condemned(table, key_of(1), 1s));
+    on_run_ended(table, key_of(1), run_at("e", 600ms, 700ms), start + 700ms);
+    on_run_ended(table, key_of(1), run_at("f", 800ms, 900ms), start + 900ms);
+    CHECK(is_condemned(table, key_of(1), 1s));
+}
+
+TEST_CASE("crash verdicts: one incarnation of a target counts once, by however many ways it is told")
+{
+    crash_table table;
+    for (int copy = 0; copy < 5; ++copy) {
+        end_targets(table, key_of(1), 2);
+        on_crash_reports_received(table, all_reports(table, 2s), start + 2s + copy * 1s);
+    }
+    CHECK(table.suspects.at(key_of(1)).runs.size() == 2);
+    CHECK_FALSE(is_condemned(table, key_of(1), 3s));
+    // Another incarnation of the same target is another target.
+    on_run_ended(table, key_of(1), {"t0", 2, start + 5s, start + 6s}, start + 6s);
+    CHECK(is_condemned(table, key_of(1), 6s));
+}
+
+TEST_CASE("crash verdicts: evidence of several instances adds up, in any order")
+{
+    crash_table first;
+    crash_table second;
+    on_run_ended(first, key_of(1), run_at("a", 0s, 1s), start + 1s);
+    on_run_ended(first, key_of(1), run_at("c", 4s, 5s), start + 5s);
+    on_run_ended(second, key_of(1), run_at("b", 2s, 3s), start + 3s);
+    CHECK_FALSE(is_condemned(first, key_of(1), 5s));
+    const auto reports_of_first = all_reports(first, 5s);
+    CHECK(on_crash_reports_received(first, all_reports(second, 5s), start + 5s));
+    CHECK(on_crash_reports_received(second, reports_of_first, start + 5s));
+    CHECK(is_condemned(first, key_of(1), 5s));
+    CHECK(is_condemned(second, key_of(1), 5s));
+    CHECK_FALSE(on_crash_reports_received(first, all_reports(second, 6s), start + 6s));
+}
+
+TEST_CASE("crash verdicts: a good answer says more than any number of ends")
+{
+    crash_table table;
+    end_targets(table, key_of(1), 2);
+    CHECK(on_suspect_answered(table, key_of(1), start + 2s));
+    end_targets(table, key_of(1), 5);
+    CHECK_FALSE(is_condemned(table, key_of(1), 6s));
+    // The answer is known where the evidence arrives from elsewhere.
+    crash_table other;
+    end_targets(other, key_of(1), 5, "u");
+    CHECK(is_condemned(other, key_of(1), 6s));
+    on_crash_reports_received(other, all_reports(table, 6s), start + 6s);
+    CHECK_FALSE(is_condemned(other, key_of(1), 6s));
+}
+
+TEST_CASE("crash verdicts: what ran beside a condemned request is not suspected for that")
+{
+    crash_table table;
+    // The popular request 2 is at every end, and is answered only later; request 1 is at one more.
+    for (int number = 0; number < 3; ++number) {
+        const auto sent = std::chrono::seconds(number);
+        const ended_run run = run_at("t" + std::to_string(number), sent, sent + 500ms);
+        on_run_ended(table, key_of(1), run, run.ended_at);
+        on_run_ended(table, key_of(2), run, run.ended_at);
+    }
+    // Either may be the cause.
+    CHECK_FALSE(is_condemned(table, key_of(1), 3s));
+    CHECK_FALSE(is_condemned(table, key_of(2), 3s));
+    on_run_ended(table, key_of(1), run_at("t3", 3s, 4s), start + 4s);
+    CHECK(is_condemned(table, key_of(1), 4s));
+    CHECK_FALSE(is_condemned(table, key_of(2), 4s));
+}
+
+TEST_CASE("crash verdicts: a request that was answered is no rival of the cause")
+{
+    crash_table table;
+    end_targets(table, key_of(1), 3);
+    end_targets(table, key_of(2), 3);
+    CHECK_FALSE(is_condemned(table, key_of(1), 3s));
+    on_suspect_answered(table, key_of(2), start + 3s);
+    CHECK(is_condemned(table, key_of(1), 3s));
+}
+
+TEST_CASE("crash verdicts: a verdict is for one version; one more end condemns at another")
+{
+    crash_table table;
+    end_targets(table, key_of(1), 3);
+    CHECK(is_condemned(table, key_of(1), 3s));
+    CHECK_FALSE(is_condemned(table, key_of(1, "v2"), 3s));
+    CHECK(is_suspected(table, key_of(1).request, "desk"));
+    on_run_ended(table, key_of(1, "v2"), run_at("new", 4s, 5s), start + 5s);
+    CHECK(is_condemned(table, key_of(1, "v2"), 5s));
+}
+
+TEST_CASE("crash verdicts: a verdict lapses, and each further end makes it longer")
+{
+    crash_table table;
+    end_targets(table, key_of(1), 3);
+    CHECK(is_condemned(table, key_of(1), 2500ms + 119s));
+    CHECK_FALSE(is_condemned(table, key_of(1), 2500ms + 120s));
+    on_run_ended(table, key_of(1), run_at("again", 130s, 131s), start + 131s);
+    CHECK(is_condemned(table, key_of(1), 131s + 19min));
+    CHECK_FALSE(is_condemned(table, key_of(1), 131s + 20min));
+    // A request that comes again all day reaches at most three targets after the first three.
+    duration now = 131s;
+    int further = 1;
+    while (now < 24h) {
+        now += 1s;
+        if (!is_condemned(table, key_of(1), now)) {
+            ++further;
+            on_run_ended(table, key_of(1), run_at("r" + std::to_string(further), now, now + 1s),
+                         start + now + 1s);
+        }
+        on_condemned_refused(table, key_of(1).request, "desk", start + now);
+        forget_old_suspects(table, start + now);
+    }
+    CHECK(further <= 3);
+}
+
+TEST_CASE("crash verdicts: suspects are forgotten, also when instances keep telling each other of them")
+{
+    crash_table first;
+    crash_table second;
+    end_targets(first, key_of(1), 2);
+    duration now = 2s;
+    for (; now < 15min; now += 2s) {
+        on_crash_reports_received(second, all_reports(first, now), start + now + 100ms);
+        on_crash_reports_received(first, all_reports(second, now), start + now + 100ms);
+        forget_old_suspects(first, start + now);
+        forget_old_suspects(second, start + now);
+    }
+    CHECK(first.suspects.empty());
+    CHECK(second.suspects.empty());
+    CHECK(first.outlines.empty());
+}
+
+TEST_CASE("crash verdicts: ten thousand requests that each end a target are kept in bounded memory")
+{
+    crash_table table;
+    end_targets(table, key_of(1), 3);
+    for (std::uint64_t request = 2; request < 10'000; ++request) {
+        const auto sent = std::chrono::milliseconds(3000 + request);
+        on_run_ended(table, key_of(request), run_at("x" + std::to_string(request), sent, sent + 1ms),
+                     start + sent + 1ms);
+    }
+    CHECK(table.suspects.size() <= table.tuning.max_suspects);
+    CHECK(table.outlines.size() <= table.tuning.max_suspects);
+    CHECK(is_condemned(table, key_of(1), 14s));
+    // The request with the most ends is among the reports, however few these are.
+    const auto reports = crash_reports(table, time_point::min(), 8, start + 14s);
+    REQUIRE(reports.size() == 8);
+    CHECK(reports.front().key == key_of(1));
+}
+
+TEST_CASE("crash verdicts: nothing is reported while nothing changes")
+{
+    crash_table table;
+    CHECK(crash_reports(table, time_point::min(), 10, start).empty());
+    end_targets(table, key_of(1), 3);
+    CHECK(crash_reports(table, start + 2s, 10, start + 3s).size() == 1);
+    CHECK(crash_reports(table, start + 3s, 10, start + 5s).empty());
+}
--- a/packages/edge/src/control.cpp
+++ b/packages/edge/src/control.cpp
@@ -200,8 +200,13 @@
 
 void post_report(control_state& state, traffic_report report)
 {
-    asio::post(state.context,
-               [&state, report = std::move(report)]() mutable { state.report = std::move(report); });
+    asio::post(state.context, [&state, report = std::move(report)]() mutable {
+        const bool has_news = report.crashes != state.report.crashes;
+        state.report = std::move(report);
+        if (has_news) {
+            send_peer_updates(state, true, boot_now());
+        }
+    });
 }
 
 void post_token_request(control_state& state, const std::string& rate_owner, token_request request)
--- a/packages/edge/src/control.hpp
+++ b/packages/edge/src/control.hpp
@@ -89,6 +89,8 @@
     /// Takes a token of a rate that this instance owns. The callback gets the time to wait, zero if the token
     /// was taken; it may be called in any thread.
     std::function<void(std::string customer, std::function<void(duration)>)> take_token_for_peer;
+    /// Passes the evidence of other instances to the traffic thread.
+    std::function<void(std::vector<steering::crash_report>)> on_crash_reports;
     /// Passes a rate owner's answer to the traffic thread.
     std::function<void(token_answer)> on_token_answer;
 };
--- a/packages/edge/src/control_fleet.cpp
+++ b/packages/edge/src/control_fleet.cpp
@@ -23,6 +23,13 @@
 constexpr std::uint64_t contact_exchange_ticks = 10;
 // A newer configuration that has been known for longer without arriving is logged.
 constexpr duration configuration_wait_log_delay = std::chrono::milliseconds(1500);
+// Period in ticks of the messages with all suspects, so that an instance that starts or was cut off learns
+// them; a multiple of the periods of the summaries.
+constexpr std::uint64_t crash_exchange_ticks = 12;
+// For this long a change of a suspect is in every message: longer than two periods of the summaries.
+constexpr duration crash_news_time = std::chrono::milliseconds(2000);
+constexpr std::size_t max_crash_news = 32;
+constexpr std::size_t max_crash_reports = 128;
 // Summaries to other regions leave out the requests in flight if these are at more targets than this.
 constexpr std::size_t max_cross_region_in_flight = 512;
 
@@ -99,6 +106,9 @@
     if (!is_own_domain(state, status.identity.failure_domain)) {
         return handle_foreign_status(state, status, now);
     }
+    if (!status.crashes.empty()) {
+        state.on_crash_reports(std::move(status.crashes));
+    }
     add_own_domain_contact(state, steering::contact_of(status.identity));
     for (const steering::instance_contact& contact : status.contacts) {
         add_own_domain_contact(state, contact);
@@ -136,9 +146,13 @@
     const bool same_region = summary.region == state.settings.identity.region;
     const bool should_forward = !summary.relayed;
     steering::domain_summary forwarded = summary;
+    summary.crashes.clear();
     if (!steering::on_summary_received(state.fleet, std::move(summary), now)) {
         return;
     }
+    if (!forwarded.crashes.empty()) {
+        state.on_crash_reports(forwarded.crashes);
+    }
     if (should_forward) {
         forwarded.relayed = true;
         send_to_all(*state.peers, own_domain_addresses(state), encode_frame(forwarded));
@@ -210,6 +224,17 @@
            state.report.load.requests_per_s < max_idle_requests_per_s;
 }
 
+std::vector<steering::crash_report> collect_crash_reports(const control_state& state, time_point now)
+{
+    if (state.report.crashes == nullptr) {
+        return {};
+    }
+    const bool is_exchange = state.tick_count % crash_exchange_ticks == 0;
+    return steering::crash_reports(*state.report.crashes,
+                                   is_exchange ? time_point::min() : now - crash_news_time,
+                                   is_exchange ? max_crash_reports : max_crash_news, now);
+}
+
 steering::instance_status make_status(control_state& state, time_point now)
 {
     steering::instance_status status;
@@ -220,6 +245,7 @@
     status.positions = own_positions(state);
     status.load = state.report.load;
     status.load.rollouts = collect_rollout_progress(state, now);
+    status.crashes = collect_crash_reports(state, now);
     if (!are_contacts_due(state)) {
         return status;
     }
@@ -302,6 +328,7 @@
         steering::instance_status contact_only = status;
         contact_only.load = {};
         contact_only.contacts.clear();
+        contact_only.crashes.clear();
         send_to_all(*state.peers, seed_addresses(state, now), encode_frame(contact_only));
     }
     send_domain_summaries(state, status, urgent, now);
--- a/packages/edge/src/instance.cpp
+++ b/packages/edge/src/instance.cpp
@@ -45,6 +45,9 @@
                                                      std::function<void(duration)> done) {
         post_owned_rate_token(running->traffic, std::move(customer), std::move(done));
     };
+    running->control.on_crash_reports = [running](std::vector<steering::crash_report> reports) {
+        post_crash_reports(running->traffic, std::move(reports));
+    };
     running->control.on_token_answer = [running](const token_answer& answer) {
         post_token_answer(running->traffic, answer.id, answer.wait);
     };
--- a/packages/edge/src/peer_codec.cpp
+++ b/packages/edge/src/peer_codec.cpp
@@ -52,6 +52,22 @@
 {
     return std::tie(value.target, value.born_ms, value.age, value.limit_per_s, value.leaving);
 }
+auto peer_fields(const_or_mutable<request_identity> auto& value)
+{
+    return std::tie(value.high, value.low, value.outline);
+}
+auto peer_fields(const_or_mutable<suspect_key> auto& value)
+{
+    return std::tie(value.request, value.service, value.version);
+}
+auto peer_fields(const_or_mutable<crash_report::run> auto& value)
+{
+    return std::tie(value.target, value.born_ms, value.sent_age, value.ended_age);
+}
+auto peer_fields(const_or_mutable<crash_report> auto& value)
+{
+    return std::tie(value.key, value.cleared, value.last_seen_age, value.runs);
+}
 auto peer_fields(const_or_mutable<load_report> auto& value)
 {
     return std::tie(value.demands, value.in_flight, value.rollouts, value.counts, value.requests_per_s,
@@ -60,12 +76,12 @@
 auto peer_fields(const_or_mutable<instance_status> auto& value)
 {
     return std::tie(value.identity, value.sequence, value.leaving, value.reads_store, value.positions,
-                    value.load, value.contacts);
+                    value.load, value.contacts, value.crashes);
 }
 auto peer_fields(const_or_mutable<domain_summary> auto& value)
 {
     return std::tie(value.failure_domain, value.region, value.delegate, value.sequence, value.relayed,
-                    value.reads_store, value.positions, value.load, value.members);
+                    value.reads_store, value.positions, value.load, value.members, value.crashes);
 }
 
 // Number of fields that a message must have; the later ones are missing in messages of earlier versions.
@@ -79,6 +95,10 @@
 constexpr std::size_t required_fields<load_report> = 4;
 template <>
 constexpr std::size_t required_fields<version_counts> = 5;
+template <>
+constexpr std::size_t required_fields<instance_status> = 7;
+template <>
+constexpr std::size_t required_fields<domain_summary> = 9;
 
 template <typename T>
 concept peer_struct = requires(T& value)
--- a/packages/edge/src/relay.cpp
+++ b/packages/edge/src/relay.cpp
@@ -138,6 +138,9 @@
         co_return refuse(state, *request, unavailable, "memory_full",
                          jittered_pause(state, short_retry_after));
     }
+    if (is_condemned_everywhere(state, *request, plan, request->arrived_at)) {
+        co_return refuse_condemned(state, *request, plan, request->arrived_at);
+    }
     const std::string customer = plan.customer == nullptr ? std::string() : plan.customer->name;
     if (!customer.empty()) {
         const duration wait = co_await take_rate_token(state, request, customer);
--- a/packages/edge/src/relay.hpp
+++ b/packages/edge/src/relay.hpp
@@ -35,6 +35,8 @@
     unsigned send_count = 0;             ///< Sends that reached their target.
     unsigned connect_failures = 0;       ///< Sends that did not.
     bool may_have_run = false;           ///< At any of the targets.
+    std::optional<steering::request_identity> identity; ///< Computed when the request may be a suspect.
+    bool is_suspect = false;                            ///< It was running when targets ended.
     /// A target's error, which becomes the final answer if no retry gives one.
     std::optional<platform::http_response> last_answer;
 };
@@ -71,6 +73,26 @@
 platform::http_response make_final_answer(traffic_state& state, const caller_request& request,
                                           const request_plan& plan, const exchange_result& result);
 
+/// @return what is known of the request at targets of @p version of its service.
+steering::crash_standing find_standing(traffic_state& state, const caller_request& request,
+                                       request_plan& plan, std::string_view version, time_point now);
+
+/// @return whether the request is condemned at all versions of its service that get requests.
+bool is_condemned_everywhere(traffic_state& state, const caller_request& request, request_plan& plan,
+                             time_point now);
+
+/// @return whether the request was running when targets of any version of its service ended.
+bool is_suspect(traffic_state& state, const caller_request& request, request_plan& plan);
+
+/// @return the answer to a condemned request; it asks the caller to come back when the verdict ends.
+platform::http_response refuse_condemned(traffic_state& state, const caller_request& request,
+                                         const request_plan& plan, time_point now);
+
+/// Updates the evidence on requests that end their targets with the outcome of a send.
+void on_send_ended(traffic_state& state, const std::shared_ptr<caller_request>& request, request_plan& plan,
+                   const steering::target_state& chosen, const steering::target& target,
+                   const exchange_result& result, time_point sent_at, time_point now);
+
 /// @return a random duration between @p base and twice @p base, so that callers do not retry at the same
 /// time.
 duration jittered_pause(traffic_state& state, duration base);
--- /dev/null
+++ b/packages/edge/src/relay_crashes.cpp
@@ -0,0 +1,277 @@
+// Decides which targets ended while they ran requests, and refuses the requests that are condemned by that.
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "identity.hpp"
+#include "relay.hpp"
+
+namespace camphorknot::edge {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr duration probe_timeout = std::chrono::milliseconds(500);
+// Targets that are tried to find out whether this instance reaches any.
+constexpr std::size_t max_reference_targets = 4;
+// An end counts only if another request was answered by a target of the same version within this time. A
+// version that answers nothing is itself at fault.
+constexpr duration version_answer_age = std::chrono::seconds(60);
+// A longer time between ticks means that the process was suspended.
+constexpr duration suspension_gap = std::chrono::seconds(1);
+
+std::string customer_name(const request_plan& plan)
+{
+    return plan.customer == nullptr ? std::string() : plan.customer->name;
+}
+
+void publish_evidence(traffic_state& state)
+{
+    state.crashes.published = std::make_shared<const steering::crash_table>(state.crashes.table);
+    send_report(state);
+}
+
+// The identity if the request may be a suspect.
+const std::optional<steering::request_identity>&
+find_identity(const traffic_state& state, const caller_request& request, request_plan& plan)
+{
+    if (!plan.identity && !state.crashes.table.suspects.empty()) {
+        const std::string customer = customer_name(plan);
+        const std::uint64_t outline = compute_outline(request.message, request.metadata.host, customer);
+        if (steering::has_outline(state.crashes.table, outline)) {
+            plan.identity = compute_identity(request.message, request.metadata.host, customer);
+        }
+    }
+    return plan.identity;
+}
+
+void log_verdict(traffic_state& state, const steering::suspect_key& key, time_point now)
+{
+    if (steering::standing_of(state.crashes.table, key, now) != steering::crash_standing::condemned) {
+        return;
+    }
+    const duration left = steering::condemned_for(state.crashes.table, key.request, key.service, now);
+    std::string targets;
+    for (const steering::ended_run& run : state.crashes.table.suspects.at(key).runs) {
+        targets += (targets.empty() ? "" : ",") + run.target;
+    }
+    log_event_limited(state.log, log_severity::warning, "request_condemned",
+                      {{"identity", steering::format_identity(key.request)},
+                       {"service", key.service},
+                       {"version", key.version},
+                       {"targets", targets},
+                       {"for_ms", to_ms(left)}});
+}
+
+void store_ended_run(traffic_state& state, const steering::target& target, const lost_run& lost)
+{
+    const time_point now = boot_now();
+    const caller_request& request = *lost.request;
+    const steering::suspect_key key = {
+        compute_identity(request.message, request.metadata.host, lost.customer), target.service,
+        target.version};
+    const bool is_news = steering::on_run_ended(state.crashes.table, key,
+                                                {target.id, target.born_ms, lost.sent_at, lost.lost_at}, now);
+    if (is_news) {
+        log_event_limited(state.log, log_severity::warning, "target_ended_under_request",
+                          {{"request", request.metadata.attempt},
+                           {"identity", steering::format_identity(key.request)},
+                           {"target", target.id},
+                           {"service", target.service},
+                           {"version", target.version}});
+        log_verdict(state, key, now);
+    }
+}
+
+// Targets that this instance may reach although it does not reach `ended`: those of the same failure domain
+// first.
+std::vector<steering::target> find_reference_targets(const traffic_state& state,
+                                                     const steering::target& ended)
+{
+    std::vector<steering::target> references;
+    for (const bool same_domain : {true, false}) {
+        for (const auto& [id, other] : state.pool.targets) {
+            const bool is_usable = id != ended.id && !other.entry.draining &&
+                                   (other.entry.failure_domain == ended.failure_domain) == same_domain;
+            if (is_usable && references.size() < max_reference_targets) {
+                references.push_back(other.entry);
+            }
+        }
+    }
+    return references;
+}
+
+// Whether the loss is not this instance's own: it reaches another target.
+asio::awaitable<bool> reaches_another(traffic_state& state, const steering::target& ended, time_point lost_at)
+{
+    const bool was_answered =
+        state.crashes.last_answered_at > lost_at && state.crashes.last_answer_target != ended.id;
+    if (was_answered) {
+        co_return true;
+    }
+    const std::vector<steering::target> references = find_reference_targets(state, ended);
+    for (const steering::target& other : references) {
+        const connect_outcome outcome =
+            co_await open_idle_connection(state.connections, other, probe_timeout);
+        if (outcome == connect_outcome::connected) {
+            co_return true;
+        }
+    }
+    co_return false;
+}
+
+bool has_version_answered(const traffic_state& state, const steering::target& target, time_point now)
+{
+    const auto answered = state.crashes.version_answers.find({target.service, target.version});
+    return answered != state.crashes.version_answers.end() && now - answered->second < version_answer_age;
+}
+
+// Finds out whether the target has ended: it refuses connections, while this instance reaches another target.
+asio::awaitable<void> inquire(traffic_state& state, steering::target target, time_point lost_at)
+{
+    const connect_outcome outcome = co_await open_idle_connection(state.connections, target, probe_timeout);
+    bool has_ended = outcome == connect_outcome::refused;
+    if (has_ended) {
+        has_ended = co_await reaches_another(state, target, lost_at);
+    }
+    const std::vector<lost_run> runs = std::move(state.crashes.inquiries[target.id]);
+    state.crashes.inquiries.erase(target.id);
+    if (!has_ended || !has_version_answered(state, target, boot_now())) {
+        co_return;
+    }
+    for (const lost_run& run : runs) {
+        store_ended_run(state, target, run);
+    }
+    publish_evidence(state);
+}
+
+// Whether the operator or the target itself may have planned the end.
+bool is_end_planned(const traffic_state& state, const request_plan& plan,
+                    const steering::target_state& chosen, const steering::target& target)
+{
+    const version_rule rule = find_version_rule(state, plan.service);
+    const bool is_retired =
+        !rule.current.empty() && target.version != rule.current && target.version != rule.next;
+    return chosen.entry.draining || chosen.entry.born_ms != target.born_ms || is_retired;
+}
+
+void on_answered(traffic_state& state, const caller_request& request, request_plan& plan,
+                 const steering::target& target, time_point now)
+{
+    state.crashes.version_answers[{target.service, target.version}] = now;
+    state.crashes.last_answer_target = target.id;
+    state.crashes.last_answered_at = now;
+    const auto& identity = find_identity(state, request, plan);
+    if (identity && steering::on_suspect_answered(state.crashes.table,
+                                                  {*identity, target.service, target.version}, now)) {
+        log_event_limited(state.log, log_severity::info, "suspect_answered",
+                          {{"request", request.metadata.attempt},
+                           {"identity", steering::format_identity(*identity)},
+                           {"target", target.id}});
+        publish_evidence(state);
+    }
+}
+
+} // namespace
+
+void on_crash_watch_tick(traffic_state& state, time_point now)
+{
+    crash_watch& watch = state.crashes;
+    if (now - watch.last_tick_at > suspension_gap) {
+        watch.resumed_at = now;
+    }
+    watch.last_tick_at = now;
+    if (!watch.table.suspects.empty()) {
+        steering::forget_old_suspects(watch.table, now);
+    }
+}
+
+void merge_crash_reports(traffic_state& state, std::span<const steering::crash_report> reports)
+{
+    const time_point now = boot_now();
+    if (!steering::on_crash_reports_received(state.crashes.table, reports, now)) {
+        return;
+    }
+    for (const steering::crash_report& report : reports) {
+        log_verdict(state, report.key, now);
+    }
+    publish_evidence(state);
+}
+
+steering::crash_standing find_standing(traffic_state& state, const caller_request& request,
+                                       request_plan& plan, std::string_view version, time_point now)
+{
+    const auto& identity = find_identity(state, request, plan);
+    return identity ? steering::standing_of(state.crashes.table,
+                                            {*identity, plan.service, std::string(version)}, now)
+                    : steering::crash_standing::unknown;
+}
+
+bool is_suspect(traffic_state& state, const caller_request& request, request_plan& plan)
+{
+    const auto& identity = find_identity(state, request, plan);
+    return identity && steering::is_suspected(state.crashes.table, *identity, plan.service);
+}
+
+bool is_condemned_everywhere(traffic_state& state, const caller_request& request, request_plan& plan,
+                             time_point now)
+{
+    if (!find_identity(state, request, plan)) {
+        return false;
+    }
+    const version_rule rule = find_version_rule(state, plan.service);
+    const auto members = state.pool.by_service.find(plan.service);
+    if (members == state.pool.by_service.end()) {
+        return false;
+    }
+    bool has_target = false;
+    for (const steering::target_state* member : members->second) {
+        const std::string& version = member->entry.version;
+        const bool is_allowed = rule.current.empty() || version == rule.current || version == rule.next;
+        if (!is_allowed || member->entry.draining) {
+            continue;
+        }
+        has_target = true;
+        if (find_standing(state, request, plan, version, now) != steering::crash_standing::condemned) {
+            return false;
+        }
+    }
+    return has_target;
+}
+
+platform::http_response refuse_condemned(traffic_state& state, const caller_request& request,
+                                         const request_plan& plan, time_point now)
+{
+    steering::crash_table& table = state.crashes.table;
+    steering::on_condemned_refused(table, *plan.identity, plan.service, now);
+    return refuse(state, request, unavailable, "request_condemned",
+                  steering::condemned_for(table, *plan.identity, plan.service, now),
+                  {{"identity", steering::format_identity(*plan.identity)}, {"service", plan.service}});
+}
+
+void on_send_ended(traffic_state& state, const std::shared_ptr<caller_request>& request, request_plan& plan,
+                   const steering::target_state& chosen, const steering::target& target,
+                   const exchange_result& result, time_point sent_at, time_point now)
+{
+    constexpr unsigned first_failure_status = 500;
+    if (result.outcome == exchange_outcome::answered) {
+        if (!result.metadata.not_run && result.response.result_int() < first_failure_status) {
+            on_answered(state, *request, plan, target, now);
+        }
+        return;
+    }
+    crash_watch& watch = state.crashes;
+    const bool was_suspended =
+        sent_at < watch.resumed_at || now - std::max(watch.last_tick_at, sent_at) > suspension_gap;
+    if (!result.connection_lost || was_suspended || is_end_planned(state, plan, chosen, target)) {
+        return;
+    }
+    const bool is_running = watch.inquiries.contains(target.id);
+    watch.inquiries[target.id].push_back({request, customer_name(plan), sent_at, now});
+    if (!is_running) {
+        asio::co_spawn(state.context, inquire(state, target, now), asio::detached);
+    }
+}
+
+} // namespace camphorknot::edge
--- a/packages/edge/src/relay_search.cpp
+++ b/packages/edge/src/relay_search.cpp
@@ -42,8 +42,8 @@
     return state.version_splits[service] = {uniform_real(state.random)};
 }
 
-steering::placement choose_placement(traffic_state& state, const caller_request& request,
-                                     const request_plan& plan, time_point now)
+steering::placement choose_placement(traffic_state& state, const caller_request& request, request_plan& plan,
+                                     time_point now)
 {
     const version_rule rule = find_version_rule(state, plan.service);
     const bool to_next = !rule.next.empty() && steering::is_next_version_due(
@@ -58,7 +58,16 @@
     if (plan.customer != nullptr) {
         criteria.customer_regions = plan.customer->regions;
     }
-    criteria.tried = plan.tried;
+    std::vector<std::string> excluded = plan.tried;
+    plan.is_suspect = is_suspect(state, request, plan);
+    if (plan.is_suspect) {
+        // Suspects run apart from each other, so that the next end tells which of them is the cause.
+        excluded.insert(excluded.end(), state.crashes.suspect_targets.begin(),
+                        state.crashes.suspect_targets.end());
+        criteria.object = plan.identity->low;
+        criteria.has_affinity = false;
+    }
+    criteria.tried = excluded;
     if (plan.route->objective > duration{}) {
         criteria.time_left = request.arrived_at + plan.route->objective - now;
     }
@@ -72,6 +81,10 @@
         criteria.avoid_suspended_trial = false;
         placement = steering::choose_target(state.pool, criteria, now);
     }
+    if (placement.outcome != steering::placement_outcome::chosen && excluded.size() > plan.tried.size()) {
+        criteria.tried = plan.tried;
+        placement = steering::choose_target(state.pool, criteria, now);
+    }
     return placement;
 }
 
@@ -167,6 +180,11 @@
         outcome.placement = choose_placement(state, *request, plan, now);
         const steering::target_state* wanted =
             outcome.placement.chosen != nullptr ? outcome.placement.chosen : outcome.placement.preferred;
+        if (wanted != nullptr && find_standing(state, *request, plan, wanted->entry.version, now) ==
+                                     steering::crash_standing::condemned) {
+            outcome.refusal = refuse_condemned(state, *request, plan, now);
+            co_return outcome;
+        }
         entry.target = plan.object && wanted != nullptr ? hash_name(wanted->entry.id) : 0;
         // Requests in the queue for the same target go first, unless this one was woken from it.
         const bool must_queue = !was_woken && steering::must_wait_behind(queue.order, entry);
--- a/packages/edge/src/relay_send.cpp
+++ b/packages/edge/src/relay_send.cpp
@@ -224,11 +224,18 @@
     forwarded.time_left = plan.deadline - start - answer_margin;
     platform::http_request message = platform::make_target_request(request->message, forwarded);
     request->active_exchange = std::make_shared<exchange_handle>();
+    const bool is_suspect = plan.is_suspect;
+    if (is_suspect) {
+        state.crashes.suspect_targets.insert(target.id);
+    }
     const bool at_most_once = plan.route->repeats == steering::repeat_policy::at_most_once;
     exchange_result result =
         co_await exchange(state.connections, target, std::move(message), request->metadata.attempt,
                           at_most_once, plan.deadline - start, request->active_exchange);
     request->active_exchange.reset();
+    if (is_suspect) {
+        state.crashes.suspect_targets.extract(target.id);
+    }
     const time_point now = boot_now();
     const duration service_time = now - start - result.connect_time;
     const steering::target_outcome outcome = classify_outcome(result);
@@ -241,6 +248,7 @@
     if (chosen.entry.born_ms == target.born_ms) {
         store_announcement(state, chosen, result, now);
     }
+    on_send_ended(state, request, plan, chosen, target, result, start, now);
     if (outcome == steering::target_outcome::success) {
         observe(placement.expected_warm ? *state.counters.warm_time : *state.counters.miss_time,
                 service_time);
--- a/packages/edge/src/target_exchange.cpp
+++ b/packages/edge/src/target_exchange.cpp
@@ -104,12 +104,13 @@
     idle.push_back(connection);
 }
 
-asio::awaitable<target_connection_handle> open_connection(const steering::target& target, duration limit)
+// Returns null if the connection cannot be opened.
+asio::awaitable<target_connection_handle> open_connection(const steering::target& target, duration limit,
+                                                          boost::system::error_code& error)
 {
     const auto executor = co_await asio::this_coro::executor;
     auto opened = std::make_shared<target_connection>(executor);
     const auto address = to_asio({target.ip, target.port});
-    boost::system::error_code error;
     opened->stream.expires_after(std::min(limit, connect_timeout));
     co_await opened->stream.async_connect(address, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
@@ -136,6 +137,14 @@
         [connection, write](boost::system::error_code error, std::size_t) { write->done = !error; });
 }
 
+// Whether the peer or the network ended the connection, unlike an answer that cannot be parsed or is late.
+bool is_connection_loss(const boost::system::error_code& error)
+{
+    return error == asio::error::eof || error == asio::error::connection_reset ||
+           error == asio::error::broken_pipe || error == http::error::end_of_stream ||
+           error == http::error::partial_message;
+}
+
 struct read_outcome {
     boost::system::error_code error;
     bool matches_request = false; ///< The answer is to this request.
@@ -219,6 +228,20 @@
     std::erase_if(pool.idle, [](const auto& entry) { return entry.second.empty(); });
 }
 
+asio::awaitable<connect_outcome> open_idle_connection(connection_pool& pool, const steering::target& target,
+                                                      duration limit)
+{
+    boost::system::error_code error;
+    const target_connection_handle connection = co_await open_connection(target, limit, error);
+    if (connection != nullptr) {
+        return_connection(pool, target.id, connection, duration{});
+        co_return connect_outcome::connected;
+    }
+    const bool is_refused =
+        error == asio::error::connection_refused || error == asio::error::connection_reset;
+    co_return is_refused ? connect_outcome::refused : connect_outcome::failed;
+}
+
 void abandon(exchange_handle& exchange)
 {
     exchange.abandoned = true;
@@ -236,7 +259,8 @@
     const time_point start = boot_now();
     target_connection_handle connection = take_idle_connection(pool, target, at_most_once);
     if (connection == nullptr) {
-        connection = co_await open_connection(target, limit);
+        boost::system::error_code error;
+        connection = co_await open_connection(target, limit, error);
         result.new_connection = true;
         result.connect_time = boot_now() - start;
     }
@@ -265,6 +289,7 @@
     if (outcome.error || !outcome.matches_request) {
         result.outcome =
             outcome.error == beast::error::timeout ? exchange_outcome::timed_out : exchange_outcome::broken;
+        result.connection_lost = is_connection_loss(outcome.error);
         result.error = outcome.error ? outcome.error.message() : "answer to another request";
         close_connection(*connection);
         co_return result;
--- a/packages/edge/src/target_exchange.hpp
+++ b/packages/edge/src/target_exchange.hpp
@@ -56,11 +56,23 @@
     exchange_outcome outcome = exchange_outcome::not_connected;
     platform::http_response response;
     platform::answer_metadata metadata;
-    std::string error; ///< Why a `broken` exchange ended.
+    std::string error;            ///< Why a `broken` exchange ended.
+    bool connection_lost = false; ///< It was closed or reset before the answer was complete.
     bool new_connection = false;
     duration connect_time{};
 };
 
+/// Result of opening a connection.
+enum class connect_outcome : std::uint8_t {
+    connected,
+    refused, ///< The address answered that nothing listens there.
+    failed,  ///< No answer in time, or no path.
+};
+
+/// Opens a connection to @p target for later requests, to find out whether it listens.
+boost::asio::awaitable<connect_outcome> open_idle_connection(connection_pool& pool,
+                                                             const steering::target& target, duration limit);
+
 /// Allows an exchange to be abandoned while it runs.
 struct exchange_handle {
     target_connection_handle connection;
--- a/packages/edge/src/traffic.cpp
+++ b/packages/edge/src/traffic.cpp
@@ -64,6 +64,7 @@
     report.load.notices = steering::notices_to_report(state.notices, now);
     report.running_requests = state.running_requests;
     report.load.requests_per_s = update_request_rate(state, now);
+    report.crashes = state.crashes.published;
     return report;
 }
 
@@ -93,7 +94,8 @@
 void tick(traffic_state& state)
 {
     const time_point now = boot_now();
-    state.on_report(make_report(state, now));
+    on_crash_watch_tick(state, now);
+    send_report(state);
     sweep_connections(
         state.connections, [&](const std::string& id) { return state.pool.targets.contains(id); }, now);
     for (auto& [service, queue] : state.queues) {
@@ -230,6 +232,17 @@
     });
 }
 
+void post_crash_reports(traffic_state& state, std::vector<steering::crash_report> reports)
+{
+    asio::post(state.context,
+               [&state, reports = std::move(reports)] { merge_crash_reports(state, reports); });
+}
+
+void send_report(traffic_state& state)
+{
+    state.on_report(make_report(state, boot_now()));
+}
+
 void post_stop(traffic_state& state)
 {
     asio::post(state.context, [&state] {
--- a/packages/edge/src/traffic.hpp
+++ b/packages/edge/src/traffic.hpp
@@ -9,6 +9,7 @@
 
 #include "camphorknot/edge/settings.hpp"
 #include "camphorknot/kernel.hpp"
+#include "crash_watch.hpp"
 #include "target_exchange.hpp"
 #include "views.hpp"
 
@@ -80,6 +81,7 @@
     std::map<std::string, steering::version_split> version_splits; ///< By service; those under rollout.
     std::map<count_key, steering::version_counts> counts;
     steering::notice_table notices; ///< Announced to this instance.
+    crash_watch crashes;
     steering::wait_tuning queue_tuning;
     connection_pool connections;
     random_source random;
@@ -118,6 +120,9 @@
 /// Hands over a rate owner's answer to the token request @p id. Safe to call from any thread.
 void post_token_answer(traffic_state& state, std::uint64_t id, duration wait);
 
+/// Hands over the evidence of other instances. Safe to call from any thread.
+void post_crash_reports(traffic_state& state, std::vector<steering::crash_report> reports);
+
 /// Begins a graceful stop: answers ask callers to close their connections. on_stopped is called when no
 /// request is in progress, or shortly before the stop time ends. Safe to call from any thread.
 void post_stop(traffic_state& state);
@@ -125,6 +130,9 @@
 /// Stops and joins the thread.
 void join_traffic(traffic_state& state);
 
+/// Sends a report to the control thread now.
+void send_report(traffic_state& state);
+
 /// Handles one request. @return its final answer.
 boost::asio::awaitable<platform::http_response> handle_request(traffic_state& state,
                                                                std::shared_ptr<caller_request> request);
--- a/packages/edge/src/views.hpp
+++ b/packages/edge/src/views.hpp
@@ -36,8 +36,9 @@
 
 /// Sent from the traffic thread to the control thread.
 struct traffic_report {
-    steering::load_report load;       ///< Without rollouts.
-    std::size_t running_requests = 0; ///< Requests without a final answer.
+    steering::load_report load;                           ///< Without rollouts.
+    std::size_t running_requests = 0;                     ///< Requests without a final answer.
+    std::shared_ptr<const steering::crash_table> crashes; ///< Null until the first suspect.
 };
 
 } // namespace camphorknot::edge
--- a/packages/edge/tests/edge_crash_test.cpp
+++ b/packages/edge/tests/edge_crash_test.cpp
@@ -16,6 +16,11 @@
 // Sends of the request after that time, over all instances.
 constexpr std::size_t max_later_sends = 3;
 
+bool is_refused_as_condemned(const caller_response& answer)
+{
+    return answer.result_int() == 503 && answer.body().find("request_condemned") != std::string::npos;
+}
+
 /// A fleet whose servers end at each request with a marker and start again, as a new incarnation.
 struct crash_fixture : fleet_fixture {
     crash_fixture(int server_count, int instance_count) : fleet_fixture(server_count, instance_count)
@@ -57,6 +62,17 @@
             std::ranges::count_if(times, [&](auto at) { return at > third_end + spread_time; }));
     }
 
+    /// Sends the request at one instance until it is refused as condemned, or ten seconds have passed.
+    bool condemn_at(std::size_t instance, const caller_request& request)
+    {
+        int number = 0;
+        return eventually([&] {
+            caller_request repeated = request;
+            repeated.set("Attempt-Id", "c" + std::to_string(++number));
+            return is_refused_as_condemned(caller(all_settings.at(instance).front.port).ask(repeated));
+        });
+    }
+
     /// Sends the request at one instance after the other, under new attempt ids.
     void repeat(const caller_request& request, std::chrono::milliseconds time,
                 std::chrono::milliseconds period)
@@ -105,3 +121,121 @@
     CHECK(fixture.later_sends_of("fatal") <= max_later_sends);
     CHECK(served > asked * 9 / 10);
 }
+
+TEST_CASE("edge crash: the refusal of a condemned request is at once, true, and names a time")
+{
+    crash_fixture fixture(6, 1);
+    const caller_request fatal = make_request(http::verb::post, "/seal/1", "f", "fatal");
+    REQUIRE(fixture.condemn_at(0, fatal));
+    const std::size_t sends = fixture.arrivals_of("fatal").size();
+    caller_request repeated = fatal;
+    repeated.set("Attempt-Id", "last");
+    const auto asked_at = clock_type::now();
+    const caller_response answer = fixture.ask(repeated);
+    CHECK(is_refused_as_condemned(answer));
+    CHECK(clock_type::now() - asked_at < 500ms);
+    CHECK(std::stod(std::string(answer[http::field::retry_after])) > 60);
+    CHECK(fixture.runs_of("last") == 0);
+    CHECK(fixture.arrivals_of("fatal").size() == sends);
+}
+
+TEST_CASE("edge crash: another customer, body, query or host is another request")
+{
+    crash_fixture fixture(6, 1);
+    const caller_request fatal = make_request(http::verb::post, "/seal/1?a=1", "f", "fatal");
+    REQUIRE(fixture.condemn_at(0, fatal));
+    // These servers would run the request.
+    for (auto& server : fixture.servers) {
+        standins::set_crash_marker(*server, "");
+    }
+    std::this_thread::sleep_for(1s);
+    CHECK(is_refused_as_condemned(fixture.ask(fatal)));
+    const auto serves = [&](const caller_request& request) {
+        return eventually([&] { return fixture.ask(request).result_int() == 200; });
+    };
+    CHECK(serves(make_request(http::verb::post, "/seal/1?a=2", "q", "fatal")));
+    CHECK(serves(make_request(http::verb::post, "/seal/1?a=1", "b", "fatam")));
+    CHECK(serves(make_request(http::verb::post, "/seal/1?a=1", "s", "fatal ")));
+    standins::put_row(*fixture.store, "op", "config",
+                      configuration_row(2, one_customer +
+                                               R"({"resource_kind":"tenants","metadata":{"name":"geysir"},
+                                                   "spec":{"api_keys":["key-two"],"rate_per_s":0,"burst":0}},)"));
+    caller_request other = fatal;
+    other.set("Attempt-Id", "t");
+    other.set(http::field::authorization, "Token key-two");
+    CHECK(serves(other));
+    CHECK(is_refused_as_condemned(fixture.ask(fatal)));
+}
+
+TEST_CASE(
+    "edge crash: the instance that saw the ends is gone at once, the others know, also one that starts later")
+{
+    crash_fixture fixture(6, 4);
+    const caller_request fatal = make_request(http::verb::get, "/find/fatal", "f");
+    REQUIRE(fixture.condemn_at(0, fatal));
+    // Its message to the others is on its way.
+    std::this_thread::sleep_for(50ms);
+    fixture.instances.at(0).reset();
+    std::this_thread::sleep_for(spread_time);
+    const std::size_t sends = fixture.arrivals_of("fatal").size();
+    for (const std::size_t instance : {1, 2, 3}) {
+        CHECK(is_refused_as_condemned(caller(fixture.all_settings.at(instance).front.port).ask(fatal)));
+    }
+    CHECK(fixture.arrivals_of("fatal").size() == sends);
+    fixture.start_member(4); // Forgets the earlier arrivals.
+    std::this_thread::sleep_for(spread_time);
+    CHECK(is_refused_as_condemned(caller(fixture.all_settings.at(4).front.port).ask(fatal)));
+    CHECK(fixture.arrivals_of("fatal").empty());
+}
+
+TEST_CASE("edge crash: answers that are lost on living targets condemn nothing")
+{
+    edge_fixture fixture(3);
+    for (auto& server : fixture.servers) {
+        server->default_behavior = standins::server_behavior::reset_after_read;
+    }
+    for (int number = 0; number < 12; ++number) {
+        const auto answer =
+            fixture.ask(make_request(http::verb::get, "/find/lost", "l" + std::to_string(number)));
+        CHECK_FALSE(is_refused_as_condemned(answer));
+        std::this_thread::sleep_for(100ms);
+    }
+    for (auto& server : fixture.servers) {
+        server->default_behavior = standins::server_behavior::serve;
+    }
+    CHECK(eventually([&] {
+        return fixture.ask(make_request(http::verb::get, "/find/lost", "last")).result_int() == 200;
+    }));
+}
+
+TEST_CASE("edge crash: the popular request that runs at every end is not condemned")
+{
+    crash_fixture fixture(6, 2);
+    for (auto& server : fixture.servers) {
+        server->service_ms = 100;
+    }
+    std::atomic<bool> running{true};
+    std::atomic<int> condemned{0};
+    std::atomic<int> served{0};
+    std::vector<std::thread> popular;
+    for (std::size_t number = 0; number < 8; ++number) {
+        popular.emplace_back([&, number] {
+            for (int round = 0; running; ++round) {
+                caller connection(fixture.all_settings.at(number % 2).front.port);
+                const auto answer =
+                    connection.ask(make_request(http::verb::get, "/find/popular",
+                                                "p" + std::to_string(number) + "-" + std::to_string(round)));
+                condemned += is_refused_as_condemned(answer) ? 1 : 0;
+                served += answer.result_int() == 200 ? 1 : 0;
+            }
+        });
+    }
+    fixture.repeat(make_request(http::verb::get, "/find/fatal", "f"), 5s, 50ms);
+    running = false;
+    for (std::thread& thread : popular) {
+        thread.join();
+    }
+    CHECK(condemned == 0);
+    CHECK(served > 50);
+    CHECK(is_refused_as_condemned(fixture.ask(make_request(http::verb::get, "/find/fatal", "last"))));
+}
