client: explain names the targets that ended under a condemned request

The cause lists the targets, the instances that saw them end and when, from the lines of all instances with the request's identity. Written with the change, so that the test did not fail first: it has events that did not exist.

--- a/packages/client/src/explain.cpp
+++ b/packages/client/src/explain.cpp
@@ -97,7 +97,33 @@
     return state_lines;
 }
 
-std::string describe_refusal(const log_line& refusal, const log_line* send)
+// The ends of targets, at any instance, for which the request was condemned.
+std::vector<log_line> find_condemning_ends(std::span<const log_line> lines, const log_line& refusal)
+{
+    std::vector<log_line> ends;
+    const std::string identity = field(refusal, "identity");
+    std::ranges::copy_if(lines, std::back_inserter(ends), [&](const log_line& line) {
+        return line.event == "target_ended_under_request" && field(line, "identity") == identity &&
+               line.time <= refusal.time;
+    });
+    std::ranges::stable_sort(ends, {}, &log_line::time);
+    return ends;
+}
+
+std::string describe_condemnation(std::span<const log_line> lines, const log_line& refusal)
+{
+    std::string ends;
+    for (const log_line& end : find_condemning_ends(lines, refusal)) {
+        ends += (ends.empty() ? "" : ", ") + field(end, "target") + " (at " + end.time + ", seen by " +
+                end.instance + ")";
+    }
+    return "Targets of service " + field(refusal, "service") +
+           " ended while they ran this request under other attempt ids" +
+           (ends.empty() ? std::string() : ": " + ends) + ".";
+}
+
+std::string describe_refusal(const log_line& refusal, const log_line* send,
+                             std::span<const log_line> all_lines)
 {
     const std::string service = field(refusal, "service");
     const std::string target = send == nullptr ? "a target" : "target " + field(*send, "target");
@@ -124,6 +150,9 @@
         return "The usable targets of service " + service +
                " rejected requests and asked for none for a time.";
     }
+    if (reason == "request_condemned") {
+        return describe_condemnation(all_lines, refusal);
+    }
     if (reason == "no_target" && send != nullptr) {
         const bool refused = field(*send, "not_run") == "true";
         return (refused ? "The request was refused by " + target + " without running it"
@@ -198,7 +227,8 @@
     if (refusal == nullptr && send == nullptr) {
         return caller_left ? "The caller closed its connection before the answer." : std::string();
     }
-    std::string cause = refusal != nullptr ? describe_refusal(*refusal, send) : describe_send(*send);
+    std::string cause =
+        refusal != nullptr ? describe_refusal(*refusal, send, all_lines) : describe_send(*send);
     if (caller_left && send != nullptr && field(*send, "end") == "abandoned") {
         cause = "The caller closed its connection, and the send to target " + field(*send, "target") +
                 " was cancelled.";
@@ -255,8 +285,13 @@
     for (const log_line& line : result.lines) {
         target = line.fields.contains("target") ? field(line, "target") : target;
     }
-    const std::vector<log_line> state_lines = find_state_before(lines, result.lines.back(), target);
+    const log_line decision = result.lines.back();
+    const std::vector<log_line> state_lines = find_state_before(lines, decision, target);
     result.lines.insert(result.lines.end(), state_lines.begin(), state_lines.end());
+    if (field(decision, "reason") == "request_condemned") {
+        const std::vector<log_line> ends = find_condemning_ends(lines, decision);
+        result.lines.insert(result.lines.end(), ends.begin(), ends.end());
+    }
     std::ranges::stable_sort(result.lines, {}, &log_line::time);
     return result;
 }
--- a/packages/client/tests/client_explain_test.cpp
+++ b/packages/client/tests/client_explain_test.cpp
@@ -41,6 +41,28 @@
 
 } // namespace
 
+TEST_CASE("explain: a condemned request is explained by the targets that ended, at all instances")
+{
+    collected_logs logs;
+    std::istringstream first(
+        R"({"time":"2026-01-01T00:00:01.0Z","event":"started","instance":"edge-1"}
+{"time":"2026-01-01T00:00:02.0Z","event":"target_ended_under_request","request":"r1","identity":"ab","target":"i-7"}
+{"time":"2026-01-01T00:00:02.5Z","event":"target_ended_under_request","request":"r2","identity":"cd","target":"i-7"}
+{"time":"2026-01-01T00:00:09.0Z","event":"request_refused","request":"r9","reason":"request_condemned","identity":"ab","service":"desk","status":"503"}
+)");
+    std::istringstream second(
+        R"({"time":"2026-01-01T00:00:01.0Z","event":"started","instance":"edge-2"}
+{"time":"2026-01-01T00:00:03.0Z","event":"target_ended_under_request","request":"r3","identity":"ab","target":"i-8"}
+)");
+    read_log(first, "a.jsonl", logs);
+    read_log(second, "b.jsonl", logs);
+    const explanation found = explain_request(logs.lines, "r9");
+    CHECK(found.cause == "Targets of service desk ended while they ran this request under other attempt ids: "
+                         "i-7 (at 2026-01-01T00:00:02.0Z, seen by edge-1), "
+                         "i-8 (at 2026-01-01T00:00:03.0Z, seen by edge-2).");
+    CHECK(found.lines.size() == 3);
+}
+
 TEST_CASE("explain: the lines of a request include the prior state of its instance, in order")
 {
     const collected_logs logs = read_both();
