soak: requests that end their servers; instances inherit no sockets

Rules: at most three sends later than 3 s after the third end, from instances that were not disturbed, and no other request is refused for it. The server's proxy goes down with it, so that connections are refused, and both come back as a new incarnation. The proxy is a stand-in now, for other tests.

Found by it: instances inherited the listening sockets of all servers and proxies, so that a port that was closed still accepted connections, and a reset did not reach a peer while an instance held a copy of the socket. The children close what they inherit; the resets among the link faults were weaker before.

--- a/tools/soak/callers.cpp
+++ b/tools/soak/callers.cpp
@@ -41,25 +41,34 @@
     return standins::make_caller_request(spec);
 }
 
-asio::awaitable<bool> send_request(std::shared_ptr<connection> open_connection, request_result& result,
-                                   std::uint64_t object)
+asio::awaitable<standins::caller_response> exchange(std::shared_ptr<connection> open_connection,
+                                                    standins::caller_request request,
+                                                    boost::system::error_code& error)
 {
-    const auto request = make_request(result, object);
-    boost::system::error_code error;
     open_connection->stream.expires_after(response_timeout);
-    result.sent = clock::now();
     co_await http::async_write(open_connection->stream, request,
                                asio::redirect_error(asio::use_awaitable, error));
-    http::response<http::string_body> response;
+    standins::caller_response response;
     if (!error) {
         co_await http::async_read(open_connection->stream, open_connection->buffer, response,
                                   asio::redirect_error(asio::use_awaitable, error));
     }
+    co_return response;
+}
+
+asio::awaitable<bool> send_request(std::shared_ptr<connection> open_connection, request_result& result,
+                                   std::uint64_t object)
+{
+    boost::system::error_code error;
+    result.sent = clock::now();
+    const standins::caller_response response =
+        co_await exchange(open_connection, make_request(result, object), error);
     result.ended = clock::now();
     if (error) {
         co_return false;
     }
     result.status = response.result_int();
+    result.condemned = response.body().find("request_condemned") != std::string::npos;
     result.has_valid_signature = standins::is_signed_answer(response, result.attempt);
     co_return response.keep_alive();
 }
@@ -95,8 +104,39 @@
     }
 }
 
+asio::awaitable<void> run_fatal_caller(deployment& fleet, caller_log& log, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    asio::steady_timer pause_timer(fleet.context);
+    while (log.running) {
+        const instance_process& instance = fleet.instances.at(random() % fleet.instances.size());
+        auto open_connection = std::make_shared<connection>(fleet.context);
+        boost::system::error_code error;
+        open_connection->stream.expires_after(connect_timeout);
+        const tcp::endpoint front(asio::ip::make_address(instance.ip), front_port);
+        co_await open_connection->stream.async_connect(front,
+                                                       asio::redirect_error(asio::use_awaitable, error));
+        if (!error) {
+            standins::caller_request_spec spec;
+            spec.attempt = "fatal" + std::to_string(log.next_attempt++);
+            spec.host = caller_host;
+            spec.path = fatal_path;
+            spec.key = "free-key";
+            spec.deadline = caller_deadline;
+            co_await exchange(open_connection, standins::make_caller_request(spec), error);
+        }
+        pause_timer.expires_after(std::chrono::milliseconds(100 + random() % 300));
+        co_await pause_timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
 } // namespace
 
+void start_fatal_caller(deployment& fleet, caller_log& log, std::uint64_t seed)
+{
+    asio::co_spawn(fleet.context, run_fatal_caller(fleet, log, seed), asio::detached);
+}
+
 void start_callers(deployment& fleet, caller_log& log, std::size_t count, std::mt19937_64& random)
 {
     for (std::size_t index = 0; index < count; ++index) {
--- a/tools/soak/callers.hpp
+++ b/tools/soak/callers.hpp
@@ -20,6 +20,7 @@
     clock::time_point ended{};
     unsigned status = 0; ///< HTTP status; 0 if no complete answer arrived.
     bool connected = false;
+    bool condemned = false; ///< Refused as a request that ends its targets.
     bool has_valid_signature =
         false; ///< Success with a complete body and the server's signature for this attempt.
 };
@@ -34,4 +35,8 @@
 /// over one connection, unless the instance closes it or its process ends first.
 void start_callers(deployment& fleet, caller_log& log, std::size_t count, std::mt19937_64& random);
 
+/// Starts a caller that sends a request which ends the servers that run it, again and again until `running`
+/// is false, at any instance. Its results are not recorded.
+void start_fatal_caller(deployment& fleet, caller_log& log, std::uint64_t seed);
+
 } // namespace soak
--- a/tools/soak/fleet.cpp
+++ b/tools/soak/fleet.cpp
@@ -1,6 +1,7 @@
 #include "fleet.hpp"
 
 #include <array>
+#include <boost/asio/post.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
@@ -36,6 +37,25 @@
          << "bounds: " << standins::bounds_setting(operator_bounds) << "\n";
 }
 
+// A server that ends takes its proxy with it, and starts again as a new incarnation. The callbacks run in the
+// server's thread.
+void watch_crashes(deployment& fleet, server_process& server)
+{
+    standins::set_crash_marker(*server.server, fatal_path);
+    server.server->restart_ms = 1500;
+    server.server->on_crash = [&fleet, &server] {
+        boost::asio::post(fleet.context, [&server] { set_fault(*server.link, link_fault::down); });
+    };
+    server.server->on_restart = [&fleet, &server] {
+        boost::asio::post(fleet.context, [&fleet, &server] {
+            set_fault(*server.link, link_fault::none);
+            ++server.born_ms;
+            const bool leaves = server.leaving_since != clock::time_point{};
+            register_server(fleet, server, leaves ? "draining" : "ready");
+        });
+    };
+}
+
 } // namespace
 
 std::string key_of(int number)
@@ -60,8 +80,9 @@
 {
     const std::size_t index = std::stoul(server.id.substr(2));
     const std::string address = fleet.network + ".2:" + std::to_string(port_of(*server.link));
-    standins::put_server(*fleet.store, server.id,
-                         standins::server_row("desk", address, region_of(index) + "-a", "v1", state, 0, 100));
+    standins::put_server(
+        *fleet.store, server.id,
+        standins::server_row("desk", address, region_of(index) + "-a", "v1", state, 0, server.born_ms));
 }
 
 void add_server(deployment& fleet)
@@ -76,6 +97,7 @@
     start(*server.link);
     register_server(fleet, server, "ready");
     fleet.servers.push_back(std::move(server));
+    watch_crashes(fleet, fleet.servers.back());
 }
 
 void make_instances(deployment& fleet, std::size_t count)
@@ -103,6 +125,8 @@
         const int log = open(instance.log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(log, STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
+        // An inherited socket would stay open after this process has closed it.
+        close_range(STDERR_FILENO + 1, ~0U, 0);
         execl(fleet.program.c_str(), fleet.program.c_str(), settings.c_str(), nullptr);
         _exit(127);
     }
--- a/tools/soak/fleet.hpp
+++ b/tools/soak/fleet.hpp
@@ -8,14 +8,16 @@
 #include <sys/types.h>
 #include <vector>
 
-#include "proxy.hpp"
 #include "standins/caller_standin.hpp"
+#include "standins/link_proxy.hpp"
 #include "standins/server_standin.hpp"
 #include "standins/store_standin.hpp"
 
 namespace soak {
 
 using clock = std::chrono::steady_clock;
+using standins::link_fault;
+using standins::proxy;
 
 struct instance_process {
     std::string name;
@@ -33,6 +35,7 @@
     std::string id;
     std::unique_ptr<proxy> link;
     standins::server_standin_handle server;
+    std::int64_t born_ms = 100;        ///< Rises with each start.
     clock::time_point leaving_since{}; ///< Time at which it began to drain; zero while it is ready.
 };
 
@@ -55,6 +58,8 @@
 
 inline constexpr std::uint16_t front_port = 7300;
 inline constexpr const char* caller_host = "s.example";
+/// Part of the path of the requests that end the servers that run them.
+inline constexpr const char* fatal_path = "/find/fatal";
 
 std::string key_of(int number);
 
--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -36,6 +36,9 @@
 constexpr auto recovery_time = 8s;
 // Minimum fraction of requests that must be served once the recovery time after the last fault is over.
 constexpr double min_recovered_fraction = 0.95;
+// Time after which all instances know of a request that ends its servers, and sends of it after that.
+constexpr auto spread_time = 3s;
+constexpr std::ptrdiff_t max_later_fatal_sends = 3;
 constexpr std::size_t caller_count = 24;
 constexpr std::size_t server_count = 6;
 
@@ -274,6 +277,9 @@
             report_violation(run, "true refusal",
                              result.attempt + " has run, answered " + std::to_string(result.status));
         }
+        if (result.condemned) {
+            report_violation(run, "innocent request", result.attempt + " at " + result.instance);
+        }
         if (result.status / 100 == 2 && !result.has_valid_signature) {
             report_violation(run, "whole answer", result.attempt + " from " + result.instance);
         }
@@ -284,6 +290,32 @@
     }
 }
 
+// A request that ends its servers reaches few of them once each instance has had the time to learn of the
+// third end. Instances that started, were suspended or lost their links may still send it.
+void check_fatal_sends(run_state& run)
+{
+    std::vector<clock::time_point> arrivals;
+    for (server_process& server : run.fleet.servers) {
+        for (const standins::received_request& request : standins::received_requests(*server.server)) {
+            if (request.target == fatal_path) {
+                arrivals.push_back(request.at);
+            }
+        }
+    }
+    std::ranges::sort(arrivals);
+    if (arrivals.size() < 3) {
+        return;
+    }
+    const auto from = arrivals.at(2) + 100ms + spread_time;
+    const auto later = std::ranges::count_if(
+        arrivals, [&](auto at) { return at > from && was_stable(run, at - spread_time, at); });
+    if (later > max_later_fatal_sends) {
+        report_violation(run, "fatal request",
+                         std::to_string(later) + " sends later than 3 s after the third, " +
+                             std::to_string(arrivals.size()) + " in all");
+    }
+}
+
 void check_revocations(run_state& run)
 {
     for (const auto& [at, number] : run.revoked) {
@@ -418,12 +450,18 @@
     const auto start_time = clock::now();
     schedule_faults(run);
     schedule_after(run, 1.5s, [&run] { start_callers(run.fleet, run.callers, caller_count, run.random); });
+    if (run.random() % 2 == 0) {
+        ++run.faults["fatal request"];
+        schedule_after(run, seconds(uniform_between(run, 3, FLAGS_seconds)),
+                       [&run] { start_fatal_caller(run.fleet, run.callers, run.random()); });
+    }
     const seconds total_time = seconds(FLAGS_seconds) + 5s + recovery_time + 3s;
     schedule_after(run, total_time, [&run] { run.callers.running = false; });
     schedule_after(run, total_time + 4s, [&context] { context.stop(); });
     context.run();
     end_processes(run.fleet);
     check_answers(run);
+    check_fatal_sends(run);
     check_revocations(run);
     check_versions(run);
     check_rate(run);
