edge tests: an instance without a path to any target serves none of its callers

Three instances, each of which reaches the servers through links of its own that the test cuts; to that end, settings may name an egress gateway that forwards connections to targets by port. The links of one instance hang or are reset, or refuse new connections while old ones live on; from 3 s on at least two thirds of its callers' requests must be served.

--- a/packages/edge/include/camphorknot/edge/settings.hpp
+++ b/packages/edge/include/camphorknot/edge/settings.hpp
@@ -24,6 +24,9 @@
     endpoint peers;                 ///< Listens for other instances.
     endpoint metrics;               ///< Listens for requests for the metrics page.
     endpoint store;                 ///< Address of the platform's store.
+    /// Address of a gateway that forwards connections to the target with the same port; empty to connect to the
+    /// targets themselves.
+    std::string egress_ip;
     std::vector<std::string> seeds; ///< Peer addresses of some instances, "ip:port"; may be out of date.
     steering::operating_bounds bounds;
 };
--- a/packages/edge/src/settings.cpp
+++ b/packages/edge/src/settings.cpp
@@ -37,6 +37,11 @@
     return found.Scalar();
 }
 
+std::string optional_text(const YAML::Node& map, const std::string& name)
+{
+    return map[name] && !map[name].IsNull() ? required_text(map, name) : std::string();
+}
+
 endpoint parse_address(const std::string& address, const std::string& name, int line)
 {
     const std::size_t colon = address.rfind(':');
@@ -111,6 +116,7 @@
     settings.identity.front_address = to_text(settings.front);
     settings.identity.peer_address = to_text(settings.peers);
     settings.store = required_address(required_child(root, "store"), "address");
+    settings.egress_ip = optional_text(root, "egress_ip");
     for (const auto& domain : required_child(root, "failure_domains")) {
         settings.failure_domains[domain.first.as<std::string>("")] = domain.second.as<std::string>("");
     }
--- a/packages/edge/src/target_exchange.cpp
+++ b/packages/edge/src/target_exchange.cpp
@@ -105,12 +105,13 @@
 }
 
 // Returns null if the connection cannot be opened.
-asio::awaitable<target_connection_handle> open_connection(const steering::target& target, duration limit,
+asio::awaitable<target_connection_handle> open_connection(const connection_pool& pool,
+                                                          const steering::target& target, duration limit,
                                                           boost::system::error_code& error)
 {
     const auto executor = co_await asio::this_coro::executor;
     auto opened = std::make_shared<target_connection>(executor);
-    const auto address = to_asio({target.ip, target.port});
+    const auto address = to_asio({pool.egress_ip.empty() ? target.ip : pool.egress_ip, target.port});
     opened->stream.expires_after(std::min(limit, connect_timeout));
     co_await opened->stream.async_connect(address, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
@@ -232,7 +233,7 @@
                                                       duration limit)
 {
     boost::system::error_code error;
-    const target_connection_handle connection = co_await open_connection(target, limit, error);
+    const target_connection_handle connection = co_await open_connection(pool, target, limit, error);
     if (connection != nullptr) {
         return_connection(pool, target.id, connection, duration{});
         co_return connect_outcome::connected;
@@ -260,7 +261,7 @@
     target_connection_handle connection = take_idle_connection(pool, target, at_most_once);
     if (connection == nullptr) {
         boost::system::error_code error;
-        connection = co_await open_connection(target, limit, error);
+        connection = co_await open_connection(pool, target, limit, error);
         result.new_connection = true;
         result.connect_time = boot_now() - start;
     }
--- a/packages/edge/src/target_exchange.hpp
+++ b/packages/edge/src/target_exchange.hpp
@@ -36,6 +36,7 @@
 struct connection_pool {
     std::map<std::string, std::vector<target_connection_handle>> idle;
     std::size_t held_answer_bytes = 0; ///< Total size of the bodies that are being read.
+    std::string egress_ip{};           ///< As in edge_settings.
 };
 
 /// Closes idle connections that have reached idle_until, and all connections to targets for which @p
--- a/packages/edge/src/traffic.cpp
+++ b/packages/edge/src/traffic.cpp
@@ -200,6 +200,7 @@
     }
     state.pool.own_domain = state.settings.identity.failure_domain;
     state.pool.own_region = state.settings.identity.region;
+    state.connections.egress_ip = state.settings.egress_ip;
     state.random.state = hash_name(state.settings.identity.name) ^ state.settings.identity.incarnation;
     register_metrics(state);
     asio::co_spawn(state.context, accept_callers(state), asio::detached);
