steering: evidence that cannot change a verdict is stored without a new one

Each end of a run computed the verdicts on all suspects, each of which searched all others for its other versions: the test of ten thousand requests that each end a target took 33 s beside five other tests. Versions of one request are neighbours in the table, and a suspect with too few runs cannot change a verdict.

--- a/packages/decision/src/steering/crash_verdicts.cpp
+++ b/packages/decision/src/steering/crash_verdicts.cpp
@@ -49,12 +49,31 @@
     });
 }
 
-bool is_condemned_elsewhere(const crash_table& table, const suspect_key& key)
+// Calls `visit` with the suspect of each version of the service.
+void for_each_version(auto& table, const request_identity& request, std::string_view service, auto visit)
 {
-    return std::ranges::any_of(table.suspects, [&](const suspect_entry& other) {
-        return other.first.request == key.request && other.first.service == key.service &&
-               other.first.version != key.version && other.second.condemned_until != time_point{};
+    const suspect_key first = {request, std::string(service), {}};
+    for (auto position = table.suspects.lower_bound(first); position != table.suspects.end(); ++position) {
+        if (position->first.request != request || position->first.service != service) {
+            return;
+        }
+        visit(position->second);
+    }
+}
+
+bool is_condemned_anywhere(const crash_table& table, const suspect_key& key)
+{
+    bool condemned = false;
+    for_each_version(table, key.request, key.service, [&](const crash_suspect& suspect) {
+        condemned = condemned || suspect.condemned_until != time_point{};
     });
+    return condemned;
+}
+
+// Runs that condemn the request at this version: one suffices for a request that is condemned at another.
+std::size_t needed_runs(const crash_table& table, const suspect_key& key)
+{
+    return is_condemned_anywhere(table, key) ? 1 : table.tuning.runs_to_condemn;
 }
 
 duration verdict_length(const crash_tuning& tuning, std::size_t further_runs)
@@ -75,10 +94,11 @@
         if (entry.second.cleared || entry.second.condemned_until != time_point{}) {
             continue;
         }
+        const std::size_t needed = needed_runs(table, entry.first);
+        if (entry.second.runs.size() < needed) {
+            continue;
+        }
         std::vector<const ended_run*> runs = consecutive_runs(entry.second, explained);
-        // One run at a further version suffices for a request that crashed the targets of another one.
-        const std::size_t needed =
-            is_condemned_elsewhere(table, entry.first) ? 1 : table.tuning.runs_to_condemn;
         if (runs.size() >= needed && runs.size() > next.second.size() &&
             !has_rival(table, entry.first, runs)) {
             next = {&entry, std::move(runs)};
@@ -159,18 +179,6 @@
     return true;
 }
 
-// Calls `visit` with the suspect of each version of the service.
-void for_each_version(auto& table, const request_identity& request, std::string_view service, auto visit)
-{
-    const suspect_key first = {request, std::string(service), {}};
-    for (auto position = table.suspects.lower_bound(first); position != table.suspects.end(); ++position) {
-        if (position->first.request != request || position->first.service != service) {
-            return;
-        }
-        visit(position->second);
-    }
-}
-
 ended_run to_run(const crash_report::run& reported, time_point now)
 {
     return {reported.target, reported.born_ms, now - reported.sent_age, now - reported.ended_age};
@@ -200,7 +208,9 @@
         return false;
     }
     suspect.changed_at = now;
-    update_verdicts(table);
+    if (suspect.runs.size() >= needed_runs(table, key)) {
+        update_verdicts(table);
+    }
     return true;
 }
 
