edge, steering: an instance without a path to any target passes requests on

Reachability was known target by target only, nothing followed from it for the service, the directory or the callers, and there was no other way to a target than this instance's own. The class: a fault of the instance that was accounted for as a fault of each target.

Change: a failed connection, or bytes that nobody acknowledged, lead to a probe of three targets of the service from different failure domains. If none accepts a connection, the service is unreachable from here: requests for it are passed on to an instance of the same region that reaches it (else of another one; regions of route and customer hold), over a port of its own. One hop only: the other instance never passes them on. It gets the caller's key and checks it, the time that is left and the number of sends made before; the token of the customer's rate is taken once, by the first. A request whose exchange with the other instance breaks off may have run, and is passed on again only if it is idempotent, has a send left, and the retry budget allows it. "Not run" is taken over only if this instance has sent nothing itself. Statuses and summaries say which services an instance does not reach; the directory leaves out instances that reach none while there are others. Probes go on every 300 ms; after half a second of success the instance sends itself, twice as long after each relapse within 10 s. Without another instance that reaches the service, requests are refused at once.

Weighed: leaving the directory and the readiness check alone serves nobody before the callers' cached answers expire, up to 6 s here.

--- a/packages/client/src/explain.cpp
+++ b/packages/client/src/explain.cpp
@@ -173,6 +173,11 @@
     if (reason == "target_unreachable") {
         return "No connection to " + target + " could be made; the request has not run.";
     }
+    if (reason == "targets_unreachable") {
+        return "No connection to any probed target of service " + service +
+               " could be made by this instance, and no other instance that reaches them took the request; "
+               "it has not run.";
+    }
     if (reason == "target_shed") {
         return "The request was refused by " + target + " without running it, and no retry was left.";
     }
--- a/packages/decision/include/camphorknot/steering/fleet.hpp
+++ b/packages/decision/include/camphorknot/steering/fleet.hpp
@@ -14,6 +14,7 @@
 #include "camphorknot/steering/record_replica.hpp"
 #include "camphorknot/steering/record_requests.hpp"
 #include "camphorknot/steering/target_notices.hpp"
+#include "camphorknot/steering/target_reach.hpp"
 
 namespace camphorknot::steering {
 
@@ -51,6 +52,12 @@
     std::uint32_t requests = 0;
 };
 
+/// What an instance reaches of the targets.
+struct target_access {
+    std::vector<std::string> unreachable_services{}; ///< Those of which it reaches no target.
+    bool reaches_any = true;                         ///< False if these are all services.
+};
+
 /// Location and addresses of an instance.
 struct instance_contact {
     std::string name{};
@@ -60,6 +67,8 @@
     std::string peer_address{};
     std::uint32_t link_mbps = 0;      ///< As in instance_identity.
     std::uint32_t cpu_millicores = 0; ///< As in instance_identity.
+    std::string relay_address{};      ///< As in instance_identity.
+    target_access access{};           ///< As in instance_status.
 };
 
 /// Load and rollout progress of one instance, or summed over the instances of a failure domain.
@@ -84,8 +93,9 @@
     record_positions positions{};
     load_report load{};
     std::vector<instance_contact>
-        contacts{}; ///< Instances of the failure domain that it receives statuses from.
+        contacts{};                      ///< Instances of the failure domain that it receives statuses from.
     std::vector<crash_report> crashes{}; ///< News, and at times all that the sender knows.
+    target_access access{};
 };
 
 /// Summary that the delegate of a failure domain sends to the other failure domains.
@@ -124,6 +134,7 @@
 /// Membership as seen by this instance. Used only by the control thread.
 struct fleet {
     bool own_reads_store = true; ///< False while the store is unreachable from this instance.
+    target_access own_access{};
     struct member {
         instance_status status;
         time_point last_received{};
@@ -238,9 +249,15 @@
 /// mostly receive the records from them, so that the calls to the store do not grow with the fleet.
 duration startup_read_delay(const instance_identity& own);
 
-/// @return the contact of @p identity.
+/// @return the contact of @p identity, without its access to the targets.
 instance_contact contact_of(const instance_identity& identity);
 
+/// @return the contact of the instance that sent @p status.
+instance_contact contact_of(const instance_status& status);
+
+/// @return the other live instances that take requests from this one.
+std::vector<next_hop> live_next_hops(const fleet& peers, time_point now);
+
 /// @return the members of another failure domain in the order in which they are selected as its delegate.
 std::vector<instance_contact> ranked_delegates(const domain_summary& summary);
 
@@ -255,7 +272,8 @@
 double own_domain_requests_per_s(const fleet& peers, const load_report& own, time_point now);
 
 /// @return front addresses for callers in @p domain, of its live instances, else of those in @p region, else
-/// of all; among these as selected by select_fronts.
+/// of all; among these as selected by select_fronts. Instances that reach no target are left out, unless
+/// there are no others.
 /// @param own_is_ready whether this instance is included.
 std::vector<std::string> front_addresses_for(const fleet& peers, std::string_view region,
                                              std::string_view domain, bool own_is_ready, time_point now);
--- a/packages/decision/include/camphorknot/steering/model.hpp
+++ b/packages/decision/include/camphorknot/steering/model.hpp
@@ -143,6 +143,7 @@
     std::uint64_t incarnation = 0; ///< Increases with each start of the process.
     std::uint32_t link_mbps = 0;   ///< Link capacity in Mbit/s; the highest is preferred as domain delegate.
     std::uint32_t cpu_millicores = 0; ///< Processor capacity; 1000 is one core of speed 1, 0 is unknown.
+    std::string relay_address{};      ///< "ip:port" for requests of other instances; empty if it takes none.
 };
 
 /// Region of each failure domain.
--- a/packages/decision/src/steering/fleet.cpp
+++ b/packages/decision/src/steering/fleet.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <tuple>
 
 #include "camphorknot/steering/front_selection.hpp"
@@ -146,9 +147,10 @@
     std::vector<instance_contact> contacts;
     if (own_is_ready) {
         contacts.push_back(contact_of(peers.own));
+        contacts.back().access = peers.own_access;
     }
     for (const instance_status* status : live_statuses(peers, now)) {
-        contacts.push_back(contact_of(status->identity));
+        contacts.push_back(contact_of(*status));
     }
     for (const domain_summary* summary : live_summaries(peers, now)) {
         contacts.insert(contacts.end(), summary->members.begin(), summary->members.end());
@@ -160,8 +162,29 @@
 
 instance_contact contact_of(const instance_identity& identity)
 {
-    return {identity.name,         identity.failure_domain, identity.region,        identity.front_address,
-            identity.peer_address, identity.link_mbps,      identity.cpu_millicores};
+    return {identity.name,           identity.failure_domain, identity.region,
+            identity.front_address,  identity.peer_address,   identity.link_mbps,
+            identity.cpu_millicores, identity.relay_address,  {}};
+}
+
+instance_contact contact_of(const instance_status& status)
+{
+    instance_contact contact = contact_of(status.identity);
+    contact.access = status.access;
+    return contact;
+}
+
+std::vector<next_hop> live_next_hops(const fleet& peers, time_point now)
+{
+    std::vector<next_hop> hops;
+    for (instance_contact& contact : live_contacts(peers, false, now)) {
+        if (!contact.relay_address.empty()) {
+            hops.push_back({std::move(contact.name), std::move(contact.failure_domain),
+                            std::move(contact.region), std::move(contact.relay_address),
+                            std::move(contact.access.unreachable_services)});
+        }
+    }
+    return hops;
 }
 
 bool on_status_received(fleet& peers, instance_status status, time_point now)
@@ -425,11 +448,11 @@
     report_sums sums;
     add_report(sums, own.load);
     if (!own.leaving) {
-        summary.members.push_back(contact_of(peers.own));
+        summary.members.push_back(contact_of(own));
     }
     for (const instance_status* status : live_statuses(peers, now)) {
         add_report(sums, status->load);
-        summary.members.push_back(contact_of(status->identity));
+        summary.members.push_back(contact_of(*status));
     }
     summary.load = to_report(sums);
     summary.crashes = own.crashes;
@@ -472,7 +495,11 @@
 std::vector<std::string> front_addresses_for(const fleet& peers, std::string_view region,
                                              std::string_view domain, bool own_is_ready, time_point now)
 {
-    const std::vector<instance_contact> live = live_contacts(peers, own_is_ready, now);
+    std::vector<instance_contact> live = live_contacts(peers, own_is_ready, now);
+    const auto reaches_any = [](const instance_contact& contact) { return contact.access.reaches_any; };
+    if (std::ranges::any_of(live, reaches_any)) {
+        std::erase_if(live, std::not_fn(reaches_any));
+    }
     const auto contacts_if = [&](auto matches) {
         std::vector<instance_contact> contacts;
         std::ranges::copy_if(live, std::back_inserter(contacts), matches);
--- a/packages/edge/include/camphorknot/edge/settings.hpp
+++ b/packages/edge/include/camphorknot/edge/settings.hpp
@@ -18,14 +18,15 @@
 struct edge_settings {
     steering::instance_identity identity;
     steering::failure_domain_regions failure_domains;
-    endpoint front;                 ///< Listens for callers' requests.
-    endpoint readiness;             ///< Listens for the platform's readiness check.
-    endpoint directory;             ///< Listens for callers' look-ups of instances.
-    endpoint peers;                 ///< Listens for other instances.
-    endpoint metrics;               ///< Listens for requests for the metrics page.
-    endpoint store;                 ///< Address of the platform's store.
-    /// Address of a gateway that forwards connections to the target with the same port; empty to connect to the
-    /// targets themselves.
+    endpoint front;     ///< Listens for callers' requests.
+    endpoint readiness; ///< Listens for the platform's readiness check.
+    endpoint directory; ///< Listens for callers' look-ups of instances.
+    endpoint peers;     ///< Listens for other instances.
+    endpoint metrics;   ///< Listens for requests for the metrics page.
+    endpoint relay;     ///< Listens for requests that other instances pass on; port 0 for none.
+    endpoint store;     ///< Address of the platform's store.
+    /// Address of a gateway that forwards connections to the target with the same port; empty to connect to
+    /// the targets themselves.
     std::string egress_ip;
     std::vector<std::string> seeds; ///< Peer addresses of some instances, "ip:port"; may be out of date.
     steering::operating_bounds bounds;
--- a/packages/edge/src/control.cpp
+++ b/packages/edge/src/control.cpp
@@ -167,6 +167,9 @@
     }
     assign_rate_owners(state, view.demand, now);
     assign_limits(state, view, now);
+    if (!state.report.access.unreachable_services.empty()) {
+        view.next_hops = steering::live_next_hops(state.fleet, now);
+    }
     for (const steering::target_in_flight& reported : others.in_flight) {
         view.peer_in_flight[reported.target] = reported.requests;
     }
@@ -201,11 +204,17 @@
 void post_report(control_state& state, traffic_report report)
 {
     asio::post(state.context, [&state, report = std::move(report)]() mutable {
-        const bool has_news = report.crashes != state.report.crashes;
+        const bool access_changed =
+            report.access.unreachable_services != state.report.access.unreachable_services;
+        const bool has_news = report.crashes != state.report.crashes || access_changed;
         state.report = std::move(report);
+        state.fleet.own_access = state.report.access;
         if (has_news) {
             send_peer_updates(state, true, boot_now());
         }
+        if (access_changed) {
+            publish_view(state, boot_now());
+        }
     });
 }
 
--- a/packages/edge/src/control_fleet.cpp
+++ b/packages/edge/src/control_fleet.cpp
@@ -174,7 +174,7 @@
                               });
 }
 
-std::optional<peer_message> handle_message(control_state& state, peer_message message)
+std::optional<peer_message> handle_message(control_state& state, peer_message&& message)
 {
     if (auto* status = std::get_if<steering::instance_status>(&message)) {
         return handle_status(state, std::move(*status));
@@ -246,6 +246,7 @@
     status.load = state.report.load;
     status.load.rollouts = collect_rollout_progress(state, now);
     status.crashes = collect_crash_reports(state, now);
+    status.access = state.report.access;
     if (!are_contacts_due(state)) {
         return status;
     }
@@ -367,7 +368,7 @@
 bool start_peer_network(control_state& state)
 {
     peer_handlers handlers;
-    handlers.on_message = [&state](peer_message message) {
+    handlers.on_message = [&state](peer_message&& message) {
         return handle_message(state, std::move(message));
     };
     handlers.on_link_change = [&state](std::string_view event, std::string_view address) {
--- a/packages/edge/src/peer_codec.cpp
+++ b/packages/edge/src/peer_codec.cpp
@@ -11,7 +11,8 @@
 auto peer_fields(const_or_mutable<instance_identity> auto& value)
 {
     return std::tie(value.name, value.ip, value.failure_domain, value.region, value.front_address,
-                    value.peer_address, value.incarnation, value.link_mbps, value.cpu_millicores);
+                    value.peer_address, value.incarnation, value.link_mbps, value.cpu_millicores,
+                    value.relay_address);
 }
 auto peer_fields(const_or_mutable<record_position> auto& value)
 {
@@ -43,10 +44,14 @@
 {
     return std::tie(value.target, value.requests);
 }
+auto peer_fields(const_or_mutable<target_access> auto& value)
+{
+    return std::tie(value.unreachable_services, value.reaches_any);
+}
 auto peer_fields(const_or_mutable<instance_contact> auto& value)
 {
     return std::tie(value.name, value.failure_domain, value.region, value.front_address, value.peer_address,
-                    value.link_mbps, value.cpu_millicores);
+                    value.link_mbps, value.cpu_millicores, value.relay_address, value.access);
 }
 auto peer_fields(const_or_mutable<target_notice> auto& value)
 {
@@ -76,7 +81,7 @@
 auto peer_fields(const_or_mutable<instance_status> auto& value)
 {
     return std::tie(value.identity, value.sequence, value.leaving, value.reads_store, value.positions,
-                    value.load, value.contacts, value.crashes);
+                    value.load, value.contacts, value.crashes, value.access);
 }
 auto peer_fields(const_or_mutable<domain_summary> auto& value)
 {
--- a/packages/edge/src/peer_network.cpp
+++ b/packages/edge/src/peer_network.cpp
@@ -109,7 +109,7 @@
     return true;
 }
 
-void handle_message(peer_network& network, const peer_connection_handle& connection, peer_message message)
+void handle_message(peer_network& network, const peer_connection_handle& connection, peer_message&& message)
 {
     const std::optional<peer_message> reply = network.handlers.on_message(std::move(message));
     if (reply) {
--- a/packages/edge/src/peer_network.hpp
+++ b/packages/edge/src/peer_network.hpp
@@ -16,7 +16,7 @@
 /// Callbacks; they run in the thread of the network's io_context.
 struct peer_handlers {
     /// Handles a message. @return the reply to send over the same connection, if any.
-    std::function<std::optional<peer_message>(peer_message)> on_message;
+    std::function<std::optional<peer_message>(peer_message&&)> on_message;
     /// Reports that a link was opened or closed; @p event is the name of the log event.
     std::function<void(std::string_view event, std::string_view address)> on_link_change;
 };
--- a/packages/edge/src/relay.cpp
+++ b/packages/edge/src/relay.cpp
@@ -20,9 +20,17 @@
 asio::awaitable<platform::http_response>
 serve_request(traffic_state& state, std::shared_ptr<caller_request> request, request_plan& plan)
 {
-    steering::count_request(state.retry_budgets[plan.service], state.settings.bounds, request->arrived_at);
+    bool is_counted = false;
     while (true) {
         search_outcome search = co_await find_target(state, request, plan);
+        if (search.is_unreachable) {
+            co_return co_await pass_on(state, request, plan);
+        }
+        if (!is_counted) {
+            steering::count_request(state.retry_budgets[plan.service], state.settings.bounds,
+                                    request->arrived_at);
+            is_counted = true;
+        }
         if (search.refusal) {
             if (plan.last_answer) {
                 co_return std::move(*plan.last_answer);
@@ -142,7 +150,8 @@
         co_return refuse_condemned(state, *request, plan, request->arrived_at);
     }
     const std::string customer = plan.customer == nullptr ? std::string() : plan.customer->name;
-    if (!customer.empty()) {
+    const bool takes_token = !customer.empty() && !request->from_peer;
+    if (takes_token) {
         const duration wait = co_await take_rate_token(state, request, customer);
         if (wait > duration{}) {
             co_return refuse_over_rate(state, *request, customer, wait);
@@ -150,7 +159,7 @@
     }
     platform::http_response answer = co_await serve_request(state, request, plan);
     const bool has_rate_owner = state.view.demand.rate_owners.contains(customer);
-    if (!customer.empty() && plan.send_count == 0 && !has_rate_owner) {
+    if (takes_token && plan.send_count == 0 && !has_rate_owner) {
         steering::return_token(state.rates, customer);
     }
     co_return answer;
--- a/packages/edge/src/relay.hpp
+++ b/packages/edge/src/relay.hpp
@@ -18,6 +18,15 @@
 inline constexpr unsigned unavailable = 503;
 inline constexpr unsigned gateway_timeout = 504;
 
+/// @return whether the status promises callers that the request has not run.
+constexpr bool implies_not_run(unsigned status)
+{
+    constexpr unsigned request_timeout = 408;
+    constexpr unsigned misdirected = 421;
+    return status == request_timeout || status == misdirected || status == too_many_requests ||
+           status == unavailable;
+}
+
 /// Retry-After for refusals whose cause is short-lived.
 inline constexpr duration short_retry_after = std::chrono::milliseconds(300);
 
@@ -52,6 +61,7 @@
 struct search_outcome {
     steering::placement placement;
     std::optional<platform::http_response> refusal;
+    bool is_unreachable = false; ///< This instance reaches no target of the service.
 };
 
 /// Finds a target. Waits in the service's queue if all targets are full and room is expected in time.
@@ -73,6 +83,20 @@
 platform::http_response make_final_answer(traffic_state& state, const caller_request& request,
                                           const request_plan& plan, const exchange_result& result);
 
+/// @return whether this instance reaches no target of the service.
+bool is_unreachable(const traffic_state& state, const std::string& service);
+
+/// Updates what is known of the paths to the service's targets with the outcome of a send, and probes them if
+/// they may be lost.
+void update_reach(traffic_state& state, const std::string& service, const exchange_result& result,
+                  time_point sent_at, time_point now);
+
+/// Passes the request on to an instance that reaches the service. An instance that got the request from
+/// another one refuses it.
+/// @return the final answer.
+boost::asio::awaitable<platform::http_response>
+pass_on(traffic_state& state, std::shared_ptr<caller_request> request, request_plan& plan);
+
 /// @return what is known of the request at targets of @p version of its service.
 steering::crash_standing find_standing(traffic_state& state, const caller_request& request,
                                        request_plan& plan, std::string_view version, time_point now);
--- a/packages/edge/src/relay_search.cpp
+++ b/packages/edge/src/relay_search.cpp
@@ -157,6 +157,7 @@
     plan.routes = state.view.routes;
     plan.service = pick_service(state, route);
     plan.random_key = state.random();
+    plan.send_count = request.sends_before;
     plan.priority = route.priority;
     const duration time_left = request.metadata.deadline.value_or(default_deadline);
     const duration limit = route.timeout > duration{} ? std::min(time_left, route.timeout) : time_left;
@@ -167,6 +168,19 @@
     return plan;
 }
 
+namespace {
+
+// Targets are tried although they may be unreachable if no other instance is left and probes succeed again.
+bool should_pass_on(const traffic_state& state, const request_plan& plan)
+{
+    if (!is_unreachable(state, plan.service)) {
+        return false;
+    }
+    return !state.view.next_hops.empty() || !steering::may_try_targets(state.reach.at(plan.service));
+}
+
+} // namespace
+
 asio::awaitable<search_outcome> find_target(traffic_state& state, std::shared_ptr<caller_request> request,
                                             request_plan& plan)
 {
@@ -176,6 +190,10 @@
     bool was_woken = false;
     while (true) {
         const time_point now = boot_now();
+        if (should_pass_on(state, plan)) {
+            outcome.is_unreachable = true;
+            co_return outcome;
+        }
         service_queue& queue = state.queues[plan.service];
         outcome.placement = choose_placement(state, *request, plan, now);
         const steering::target_state* wanted =
--- a/packages/edge/src/relay_send.cpp
+++ b/packages/edge/src/relay_send.cpp
@@ -1,6 +1,4 @@
 // One send to a target, the updates that its outcome causes, and whether the request may be retried.
-#include <array>
-
 #include "identity.hpp"
 #include "relay.hpp"
 
@@ -171,8 +169,6 @@
               const steering::target& target, const exchange_result& result, bool warm, duration elapsed,
               bool should_retry)
 {
-    constexpr std::array<std::string_view, 5> outcome_names = {"answered", "not_connected", "broken",
-                                                               "timed_out", "abandoned"};
     const bool failed = result.outcome != exchange_outcome::answered || result.response.result_int() >= 400;
     std::vector<log_field> fields = {
         {"request", request.metadata.attempt},
@@ -181,7 +177,7 @@
         {"target", target.id},
         {"domain", target.failure_domain},
         {"object", request.metadata.object.value_or("")},
-        {"end", std::string(outcome_names.at(static_cast<std::size_t>(result.outcome)))},
+        {"end", std::string(name_of(result.outcome))},
         {"status",
          std::to_string(result.outcome == exchange_outcome::answered ? result.response.result_int() : 0)},
         {"not_run", result.metadata.not_run ? "true" : "false"},
@@ -249,6 +245,7 @@
         store_announcement(state, chosen, result, now);
     }
     on_send_ended(state, request, plan, chosen, target, result, start, now);
+    update_reach(state, plan.service, result, start, now);
     if (outcome == steering::target_outcome::success) {
         observe(placement.expected_warm ? *state.counters.warm_time : *state.counters.miss_time,
                 service_time);
@@ -275,10 +272,8 @@
                                           const request_plan& plan, const exchange_result& result)
 {
     const unsigned status = result.response.result_int();
-    const bool implies_not_run =
-        status == 408 || status == 421 || status == too_many_requests || status == unavailable;
     if (result.outcome == exchange_outcome::answered && !result.metadata.not_run) {
-        if (implies_not_run) {
+        if (implies_not_run(status)) {
             // These statuses promise callers that the request has not run, which this answer does not prove.
             return refuse(state, request, bad_gateway, "target_failed", duration{},
                           {{"service", plan.service}});
--- a/packages/edge/src/sessions.cpp
+++ b/packages/edge/src/sessions.cpp
@@ -31,8 +31,9 @@
 constexpr std::size_t max_sessions = 2500;
 
 struct session {
-    explicit session(tcp::socket socket) : stream(std::move(socket)) {}
+    session(tcp::socket socket, session_kind opened_by) : stream(std::move(socket)), kind(opened_by) {}
     beast::tcp_stream stream;
+    session_kind kind;
     beast::flat_buffer buffer;
 };
 using session_handle = std::shared_ptr<session>;
@@ -145,6 +146,10 @@
     request->id = state.next_request_id++;
     request->message = parser.release();
     request->metadata = platform::read_request(request->message);
+    request->from_peer = connection->kind == session_kind::peer;
+    if (request->from_peer) {
+        request->sends_before = platform::read_sends_before(request->message);
+    }
     co_return request;
 }
 
@@ -224,12 +229,12 @@
 
 } // namespace
 
-asio::awaitable<void> accept_callers(traffic_state& state)
+asio::awaitable<void> accept_sessions(traffic_state& state, tcp::acceptor& acceptor, session_kind kind)
 {
-    while (state.acceptor.is_open()) {
+    while (acceptor.is_open()) {
         boost::system::error_code error;
         tcp::socket socket(state.context);
-        co_await state.acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
+        co_await acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             if (error != asio::error::operation_aborted) {
                 log_event_limited(state.log, log_severity::warning, "accept_failed",
@@ -243,7 +248,7 @@
         }
         boost::system::error_code ignored; // Without the option small answers are sent later.
         socket.set_option(tcp::no_delay(true), ignored);
-        auto accepted = std::make_shared<session>(std::move(socket));
+        auto accepted = std::make_shared<session>(std::move(socket), kind);
         asio::co_spawn(state.context, run_session(state, std::move(accepted)), asio::detached);
     }
 }
--- a/packages/edge/src/settings.cpp
+++ b/packages/edge/src/settings.cpp
@@ -113,6 +113,10 @@
     settings.directory = required_address(listen, "directory");
     settings.peers = required_address(listen, "peers");
     settings.metrics = required_address(listen, "metrics");
+    if (listen["relay"] && !listen["relay"].IsNull()) {
+        settings.relay = required_address(listen, "relay");
+        settings.identity.relay_address = to_text(settings.relay);
+    }
     settings.identity.front_address = to_text(settings.front);
     settings.identity.peer_address = to_text(settings.peers);
     settings.store = required_address(required_child(root, "store"), "address");
--- a/packages/edge/src/target_exchange.hpp
+++ b/packages/edge/src/target_exchange.hpp
@@ -53,6 +53,14 @@
     abandoned,     ///< The caller left, and the connection was closed to stop the target's work.
 };
 
+/// @return the stable name of @p outcome.
+constexpr std::string_view name_of(exchange_outcome outcome)
+{
+    constexpr std::array<std::string_view, 5> names = {"answered", "not_connected", "broken", "timed_out",
+                                                       "abandoned"};
+    return names.at(static_cast<std::size_t>(outcome));
+}
+
 struct exchange_result {
     exchange_outcome outcome = exchange_outcome::not_connected;
     platform::http_response response;
--- a/packages/edge/src/traffic.cpp
+++ b/packages/edge/src/traffic.cpp
@@ -65,6 +65,7 @@
     report.running_requests = state.running_requests;
     report.load.requests_per_s = update_request_rate(state, now);
     report.crashes = state.crashes.published;
+    report.access = current_access(state);
     return report;
 }
 
@@ -81,6 +82,7 @@
         state.acceptor.is_open()) {
         boost::system::error_code ignored; // A failure to close needs no handling.
         state.acceptor.close(ignored);
+        state.relay_acceptor.close(ignored);
     }
     const bool idle = state.unfinished_requests == 0 && elapsed >= min_stop_time;
     if ((idle || elapsed >= limit) && state.on_stopped) {
@@ -95,9 +97,12 @@
 {
     const time_point now = boot_now();
     on_crash_watch_tick(state, now);
+    probe_services(state, now);
     send_report(state);
     sweep_connections(
         state.connections, [&](const std::string& id) { return state.pool.targets.contains(id); }, now);
+    sweep_connections(
+        state.peer_connections, [](const std::string& /*name*/) { return true; }, now);
     for (auto& [service, queue] : state.queues) {
         wake_waiters(state, service, queue.waiters.size());
     }
@@ -198,12 +203,21 @@
     if (!open_acceptor(state.acceptor, state.settings.front)) {
         return false;
     }
+    const bool takes_peers = state.settings.relay.port != 0;
+    if (takes_peers && !open_acceptor(state.relay_acceptor, state.settings.relay)) {
+        return false;
+    }
     state.pool.own_domain = state.settings.identity.failure_domain;
     state.pool.own_region = state.settings.identity.region;
     state.connections.egress_ip = state.settings.egress_ip;
     state.random.state = hash_name(state.settings.identity.name) ^ state.settings.identity.incarnation;
     register_metrics(state);
-    asio::co_spawn(state.context, accept_callers(state), asio::detached);
+    asio::co_spawn(state.context, accept_sessions(state, state.acceptor, session_kind::caller),
+                   asio::detached);
+    if (takes_peers) {
+        asio::co_spawn(state.context, accept_sessions(state, state.relay_acceptor, session_kind::peer),
+                       asio::detached);
+    }
     schedule_tick(state);
     state.thread = std::thread([&state] { state.context.run(); });
     return true;
--- a/packages/edge/src/traffic.hpp
+++ b/packages/edge/src/traffic.hpp
@@ -36,6 +36,8 @@
     platform::request_metadata metadata;
     time_point arrived_at{};
     bool caller_left = false;
+    bool from_peer = false;    ///< Passed on by another instance, which has taken the token of the rate.
+    unsigned sends_before = 0; ///< Made by that instance.
     std::shared_ptr<exchange_handle> active_exchange; ///< Null unless the request is at a target.
     std::shared_ptr<waiter> active_waiter;            ///< Null unless the request waits in a queue.
 };
@@ -71,6 +73,7 @@
     metrics& metric_registry;
     boost::asio::io_context context{1};
     boost::asio::ip::tcp::acceptor acceptor{context};
+    boost::asio::ip::tcp::acceptor relay_acceptor{context}; ///< For the requests of other instances.
     boost::asio::steady_timer ticker{context};
     std::thread thread;
     traffic_view view;
@@ -82,8 +85,10 @@
     std::map<count_key, steering::version_counts> counts;
     steering::notice_table notices; ///< Announced to this instance.
     crash_watch crashes;
+    std::map<std::string, steering::service_reach> reach; ///< By service.
     steering::wait_tuning queue_tuning;
     connection_pool connections;
+    connection_pool peer_connections; ///< By name of the instance.
     random_source random;
     std::uint64_t next_request_id = 1;
     std::size_t open_sessions = 0;
@@ -147,8 +152,18 @@
 /// Wakes the first request of the service's queue that waits for @p target, which may have room now.
 void wake_waiter_for(traffic_state& state, const std::string& service, const std::string& target);
 
-/// Accepts callers until the acceptor is closed.
-boost::asio::awaitable<void> accept_callers(traffic_state& state);
+/// Whose connections an acceptor accepts.
+enum class session_kind : std::uint8_t { caller, peer };
+
+/// Accepts connections until the acceptor is closed.
+boost::asio::awaitable<void> accept_sessions(traffic_state& state, boost::asio::ip::tcp::acceptor& acceptor,
+                                             session_kind kind);
+
+/// Probes the services that may be unreachable.
+void probe_services(traffic_state& state, time_point now);
+
+/// @return what this instance reaches of the targets.
+steering::target_access current_access(const traffic_state& state);
 
 /// Logs and counts a refusal. @return the answer to a request that is not served.
 /// @param inputs further fields of the log line: the values that led to the refusal.
--- a/packages/edge/src/views.hpp
+++ b/packages/edge/src/views.hpp
@@ -32,12 +32,16 @@
     std::unordered_map<std::string, double> peer_in_flight; ///< Requests of other instances, by target.
     /// Requests per second that this instance may send to targets that name a limit, by target.
     std::map<std::string, double> limit_shares;
+    /// Instances that take requests for services of which this one reaches no target; empty without such a
+    /// service.
+    std::vector<steering::next_hop> next_hops;
 };
 
 /// Sent from the traffic thread to the control thread.
 struct traffic_report {
-    steering::load_report load;                           ///< Without rollouts.
-    std::size_t running_requests = 0;                     ///< Requests without a final answer.
+    steering::load_report load;       ///< Without rollouts.
+    std::size_t running_requests = 0; ///< Requests without a final answer.
+    steering::target_access access;
     std::shared_ptr<const steering::crash_table> crashes; ///< Null until the first suspect.
 };
 
--- a/packages/edge/tests/edge_fixture.hpp
+++ b/packages/edge/tests/edge_fixture.hpp
@@ -140,6 +140,8 @@
         settings.directory = local();
         settings.peers = local();
         settings.metrics = local();
+        settings.relay = local();
+        settings.identity.relay_address = local_ip() + ":" + std::to_string(settings.relay.port);
         settings.identity.front_address = local_ip() + ":" + std::to_string(settings.front.port);
         settings.identity.peer_address = local_ip() + ":" + std::to_string(settings.peers.port);
     }
