--- a/packages/decision/tests/steering_fleet_test.cpp
+++ b/packages/decision/tests/steering_fleet_test.cpp
@@ -59,6 +59,29 @@
     CHECK(front_addresses_for(peers, "egs", "egs-a", true, start).size() == 5);
 }
 
+TEST_CASE("fleet: callers are not sent to instances that reach no target, unless there are no others")
+{
+    fleet peers = make_fleet();
+    peers.own_access = {{"desk"}, false};
+    CHECK(front_addresses_for(peers, "rvk", "rvk-a", true, start) == std::vector<std::string>{"two:80"});
+    instance_status cut = make_instance_status("two", 2);
+    cut.access = {{"desk"}, false};
+    on_status_received(peers, cut, start);
+    CHECK(front_addresses_for(peers, "rvk", "rvk-a", true, start) == std::vector<std::string>{"three:80"});
+    domain_summary summary = make_domain("rvk-b", "rvk", {"three"}, 2);
+    summary.members.front().access = {{"desk"}, false};
+    on_summary_received(peers, summary, start);
+    CHECK(front_addresses_for(peers, "rvk", "rvk-a", true, start).size() == 2); // In another region.
+    domain_summary far = make_domain("aku-a", "aku", {"four"}, 2);
+    far.members.front().access = {{"desk"}, false};
+    on_summary_received(peers, far, start);
+    CHECK(front_addresses_for(peers, "rvk", "rvk-a", true, start) ==
+          std::vector<std::string>{"one:80", "two:80"});
+    // One service alone is no reason.
+    peers.own_access = {{"desk"}, true};
+    CHECK(front_addresses_for(peers, "rvk", "rvk-a", true, start) == std::vector<std::string>{"one:80"});
+}
+
 TEST_CASE("fleet: timed-out and leaving instances are not listed for callers")
 {
     fleet peers = make_fleet();
--- a/packages/edge/tests/edge_reach_test.cpp
+++ b/packages/edge/tests/edge_reach_test.cpp
@@ -72,3 +72,116 @@
 {
     check_served_during(link_fault::closed);
 }
+
+TEST_CASE("edge reach: two cut instances pass requests on to the third, at most once and without the key")
+{
+    cut_fixture fixture(4, 3);
+    fixture.set_links(0, link_fault::down);
+    fixture.set_links(1, link_fault::down);
+    ask_for(fixture, 0, false, "n", 1500ms);
+    ask_for(fixture, 1, false, "m", 1500ms);
+    const std::string body(300'000, 'b');
+    for (const std::size_t instance : {0, 1}) {
+        const std::string attempt = "big" + std::to_string(instance);
+        const caller_response answer =
+            fixture.ask_at(instance, make_request(http::verb::post, "/seal/1?q=2", attempt, body));
+        CHECK(answer.result_int() == 200);
+        CHECK(answer["Server-Signature"] == "s-" + attempt);
+        CHECK(fixture.runs_of(attempt) == 1);
+    }
+    for (auto& server : fixture.servers) {
+        for (const auto& request : standins::received_requests(*server)) {
+            CHECK(request.authorization.empty());
+            CHECK(request.customer == "gullfoss");
+            if (request.method == "POST") {
+                CHECK(request.body == body);
+                CHECK(request.target == "/seal/1?q=2");
+            }
+        }
+    }
+    caller_request unknown = make_request(http::verb::get, "/find/1", "k");
+    unknown.set(http::field::authorization, "Token key-none");
+    CHECK(fixture.ask_at(0, unknown).result_int() == 401);
+}
+
+TEST_CASE("edge reach: targets that nobody reaches are refused at once, and served soon after they are back")
+{
+    cut_fixture fixture(4, 2);
+    for (const std::size_t instance : {0, 1}) {
+        fixture.set_links(instance, link_fault::down);
+        ask_for(fixture, instance, false, "n" + std::to_string(instance), 1500ms);
+    }
+    const tally refused = ask_for(fixture, 0, true, "r", 1s);
+    CHECK(refused.asked > 5);
+    CHECK(refused.served == 0);
+    CHECK(refused.longest < 400ms);
+    const caller_response answer = fixture.ask_at(1, make_request(http::verb::post, "/seal/1", "last", "x"));
+    CHECK(answer.result_int() == 503);
+    CHECK(answer.body().find("targets_unreachable") != std::string::npos);
+    CHECK(fixture.runs_of("last") == 0);
+    for (const std::size_t instance : {0, 1}) {
+        fixture.set_links(instance, link_fault::none);
+    }
+    ask_for(fixture, 0, false, "b", 1500ms);
+    const tally served = ask_for(fixture, 0, true, "s", 1s);
+    CHECK(served.served == served.asked);
+}
+
+TEST_CASE("edge reach: the directory leaves out a cut instance, and names it again when its links are back")
+{
+    cut_fixture fixture(4, 3);
+    const auto is_named = [&] {
+        const auto answer = fixture.get_from(fixture.all_settings.at(2).directory.port,
+                                             "/-/resolve?name=seals.example&region=rvk&zone=rvk-a");
+        return answer.body().find(":" + std::to_string(fixture.all_settings.at(0).front.port) + "\"") !=
+               std::string::npos;
+    };
+    CHECK(is_named());
+    fixture.set_links(0, link_fault::down);
+    ask_for(fixture, 0, false, "n", 1s);
+    CHECK(eventually([&] { return !is_named(); }));
+    CHECK(fixture.get_from(fixture.all_settings.at(0).readiness.port, "/-/ready").result_int() == 200);
+    fixture.set_links(0, link_fault::none);
+    CHECK(eventually(is_named));
+}
+
+TEST_CASE("edge reach: what another instance promises is true for the whole attempt")
+{
+    cut_fixture fixture(3, 2);
+    fixture.set_links(0, link_fault::down);
+    ask_for(fixture, 0, false, "n", 1500ms);
+    const auto ask_with = [&](standins::server_behavior behavior, const std::string& attempt) {
+        for (auto& server : fixture.servers) {
+            const std::lock_guard lock(server->guard);
+            server->default_behavior = behavior;
+        }
+        return fixture.ask_at(0, make_request(http::verb::post, "/seal/1", attempt, "x")).result_int();
+    };
+    CHECK(ask_with(standins::server_behavior::shed, "shed") == 503);
+    CHECK(fixture.runs_of("shed") == 0);
+    CHECK(ask_with(standins::server_behavior::refuse_unproved, "unproved") == 502);
+    CHECK(fixture.runs_of("unproved") == 1);
+    CHECK(ask_with(standins::server_behavior::reset_after_read, "reset") == 502);
+    CHECK(fixture.runs_of("reset") == 1);
+    CHECK(ask_with(standins::server_behavior::cut_short, "short") == 502);
+    CHECK(fixture.runs_of("short") == 1);
+}
+
+TEST_CASE("edge reach: an instance that ends while it has a request of another one promises nothing")
+{
+    cut_fixture fixture(3, 2);
+    fixture.set_links(0, link_fault::down);
+    ask_for(fixture, 0, false, "n", 1500ms);
+    for (auto& server : fixture.servers) {
+        server->service_ms = 600;
+    }
+    unsigned status = 0;
+    std::thread asking([&] {
+        status = fixture.ask_at(0, make_request(http::verb::post, "/seal/1", "lost", "x")).result_int();
+    });
+    CHECK(eventually([&] { return fixture.runs_of("lost") == 1; }));
+    fixture.instances.at(1).reset();
+    asking.join();
+    CHECK((status == 502 || status == 504));
+    CHECK(fixture.runs_of("lost") == 1);
+}
