soak: instances that are cut off from all servers

Each instance has links of its own to the servers (an egress gateway), which hang, are reset or refuse new connections for 2 to 8 s at random times, while the store, the other instances and the callers reach it. Rule: from 3 s after the cut on its callers' requests are served two thirds as often as those of the others, or at most 10 and one in 50 of all fail.

--- a/tools/soak/fleet.cpp
+++ b/tools/soak/fleet.cpp
@@ -30,25 +30,54 @@
          << ", failure_domain: " << region_of(index) << "-a, region: " << region_of(index) << " }\n"
          << "listen: { front: \"" << instance.ip << ":" << front_port << "\", readiness: \"" << instance.ip
          << ":7301\", directory: \"" << instance.ip << ":7302\", peers: \"" << instance.ip
-         << ":7303\", metrics: \"" << instance.ip << ":7304\" }\n"
+         << ":7303\", metrics: \"" << instance.ip << ":7304\", relay: \"" << instance.ip << ":7305\" }\n"
          << "store: { address: \"" << fleet.network << ".1:" << port_of(*instance.store_link) << "\" }\n"
+         << (instance.egress_ip.empty() ? std::string() : "egress_ip: " + instance.egress_ip + "\n")
          << "failure_domains: { luzon-a: luzon, visayas-a: visayas, mindanao-a: mindanao }\n"
          << "seeds: [\"" << fleet.network << ".101:7303\", \"" << fleet.network << ".102:7303\"]\n"
          << "bounds: " << standins::bounds_setting(operator_bounds) << "\n";
 }
 
-// A server that ends takes its proxy with it, and starts again as a new incarnation. The callbacks run in the
-// server's thread.
+// Sets the fault of the instance's link to the server: that of the instance's cut, or that of the server.
+void update_link(const deployment& fleet, instance_process& instance, std::size_t index)
+{
+    const link_fault of_server = fleet.servers.at(index).is_down ? link_fault::down : link_fault::none;
+    set_fault(*instance.server_links.at(index), instance.cut == link_fault::none ? of_server : instance.cut);
+}
+
+void set_down(deployment& fleet, server_process& server, bool is_down)
+{
+    server.is_down = is_down;
+    set_fault(*server.link, is_down ? link_fault::down : link_fault::none);
+    const auto index = static_cast<std::size_t>(&server - fleet.servers.data());
+    for (instance_process& instance : fleet.instances) {
+        if (!instance.server_links.empty()) {
+            update_link(fleet, instance, index);
+        }
+    }
+}
+
+void add_link(deployment& fleet, instance_process& instance, const server_process& server)
+{
+    const boost::asio::ip::tcp::endpoint address(boost::asio::ip::make_address(fleet.network + ".2"),
+                                                 port_of(*server.link));
+    instance.server_links.push_back(
+        std::make_unique<proxy>(fleet.context, instance.egress_ip, address, port_of(*server.link)));
+    start(*instance.server_links.back());
+}
+
+// A server that ends takes its proxies with it, and starts again as a new incarnation. The callbacks run in
+// the server's thread.
 void watch_crashes(deployment& fleet, server_process& server)
 {
     standins::set_crash_marker(*server.server, fatal_path);
     server.server->restart_ms = 1500;
     server.server->on_crash = [&fleet, &server] {
-        boost::asio::post(fleet.context, [&server] { set_fault(*server.link, link_fault::down); });
+        boost::asio::post(fleet.context, [&fleet, &server] { set_down(fleet, server, true); });
     };
     server.server->on_restart = [&fleet, &server] {
         boost::asio::post(fleet.context, [&fleet, &server] {
-            set_fault(*server.link, link_fault::none);
+            set_down(fleet, server, false);
             ++server.born_ms;
             const bool leaves = server.leaving_since != clock::time_point{};
             register_server(fleet, server, leaves ? "draining" : "ready");
@@ -98,6 +127,20 @@
     register_server(fleet, server, "ready");
     fleet.servers.push_back(std::move(server));
     watch_crashes(fleet, fleet.servers.back());
+    for (instance_process& instance : fleet.instances) {
+        if (!instance.egress_ip.empty()) {
+            add_link(fleet, instance, fleet.servers.back());
+            update_link(fleet, instance, fleet.servers.size() - 1);
+        }
+    }
+}
+
+void set_cut(deployment& fleet, instance_process& instance, link_fault cut)
+{
+    instance.cut = cut;
+    for (std::size_t index = 0; index < instance.server_links.size(); ++index) {
+        update_link(fleet, instance, index);
+    }
 }
 
 void make_instances(deployment& fleet, std::size_t count)
@@ -112,6 +155,12 @@
         instance.log_path = fleet.directory + "/" + instance.name + ".jsonl";
         instance.store_link = std::make_unique<proxy>(fleet.context, fleet.network + ".1", store);
         start(*instance.store_link);
+        if (index < max_linked_instances) {
+            instance.egress_ip = fleet.network + "." + std::to_string(201 + index);
+            for (const server_process& server : fleet.servers) {
+                add_link(fleet, instance, server);
+            }
+        }
         write_settings(fleet, instance, index);
         fleet.instances.push_back(std::move(instance));
     }
--- a/tools/soak/fleet.hpp
+++ b/tools/soak/fleet.hpp
@@ -25,6 +25,9 @@
     std::string settings_path;
     std::string log_path;
     std::unique_ptr<proxy> store_link;
+    std::string egress_ip; ///< Of its links to the servers; empty if it reaches them directly.
+    std::vector<std::unique_ptr<proxy>> server_links; ///< In the order of the servers.
+    link_fault cut = link_fault::none;                ///< Of all these links.
     pid_t pid = 0;
     bool suspended = false;
     clock::time_point stop_sent{}; ///< Time at which SIGTERM was sent to this process; zero if it wasn't.
@@ -35,6 +38,7 @@
     std::string id;
     std::unique_ptr<proxy> link;
     standins::server_standin_handle server;
+    bool is_down = false;
     std::int64_t born_ms = 100;        ///< Rises with each start.
     clock::time_point leaving_since{}; ///< Time at which it began to drain; zero while it is ready.
 };
@@ -70,9 +74,15 @@
 /// Starts a server behind a proxy and registers it as ready.
 void add_server(deployment& fleet);
 
+/// Instances that have links of their own to the servers; the others reach them directly.
+inline constexpr std::size_t max_linked_instances = 50;
+
 /// Writes the server's entry, with @p state, to the store.
 void register_server(deployment& fleet, const server_process& server, const std::string& state);
 
+/// Cuts the instance's links to all servers, or restores them.
+void set_cut(deployment& fleet, instance_process& instance, link_fault cut);
+
 /// Creates @p count instances in three regions and writes their settings files; starts no process.
 void make_instances(deployment& fleet, std::size_t count);
 void start_process(deployment& fleet, instance_process& instance);
--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -54,6 +54,13 @@
     std::vector<std::pair<clock::time_point, int>> revoked; ///< Time of withdrawal and key number.
     std::vector<std::pair<clock::time_point, clock::time_point>>
         unstable; ///< Intervals in which a fault was active.
+    struct instance_interval {
+        std::string instance;
+        clock::time_point from;
+        clock::time_point to;
+    };
+    std::vector<instance_interval> cuts;      ///< From all servers.
+    std::vector<instance_interval> disturbed; ///< Killed, suspended or stopped, and the time after that.
     std::map<std::string, int> faults;
     std::set<pid_t> killed;
     std::vector<std::string> violations;
@@ -112,6 +119,11 @@
         return;
     }
     mark_unstable(run, length + 1);
+    const auto now = clock::now();
+    constexpr double max_stop_s = 9; // A stop, the pause until the start, and the start.
+    run.disturbed.push_back(
+        {instance.name, now,
+         now + std::chrono::duration_cast<clock::duration>(seconds(max_stop_s)) + stabilization_time});
     if (choice == 0) {
         ++run.faults["kill"];
         run.killed.insert(instance.pid);
@@ -150,6 +162,24 @@
     schedule_after(run, seconds(length), [&link] { set_fault(link, link_fault::none); });
 }
 
+// Cuts the links of an instance to all servers. The store, the other instances and the callers reach it.
+void inject_cut(run_state& run)
+{
+    constexpr std::array cuts = {link_fault::hang, link_fault::down, link_fault::closed};
+    instance_process& instance = random_instance(run);
+    if (instance.cut != link_fault::none || instance.egress_ip.empty()) {
+        return;
+    }
+    const double length = uniform_between(run, 2, 8);
+    ++run.faults["cut from servers"];
+    const auto now = clock::now();
+    run.cuts.push_back(
+        {instance.name, now, now + std::chrono::duration_cast<clock::duration>(seconds(length))});
+    set_cut(run.fleet, instance, cuts.at(run.random() % cuts.size()));
+    schedule_after(run, seconds(length),
+                   [&run, &instance] { set_cut(run.fleet, instance, link_fault::none); });
+}
+
 void inject_server_fault(run_state& run)
 {
     constexpr std::array behaviors = {server_behavior::shed,
@@ -208,7 +238,7 @@
 {
     const auto count = static_cast<int>(FLAGS_seconds * 1.5);
     for (int index = 0; index < count; ++index) {
-        const auto kind = run.random() % 6;
+        const auto kind = run.random() % 7;
         schedule_after(run, seconds(uniform_between(run, 3, FLAGS_seconds)), [&run, kind] {
             switch (kind) {
             case 0:
@@ -226,6 +256,9 @@
             case 4:
                 inject_server_fault(run);
                 break;
+            case 5:
+                inject_cut(run);
+                break;
             default:
                 inject_change(run);
             }
@@ -316,6 +349,47 @@
     }
 }
 
+// An instance that is cut off from all servers serves its callers, by way of the others.
+void check_cuts(run_state& run)
+{
+    constexpr double min_ratio = 2.0 / 3;
+    constexpr double max_failed = 10;
+    constexpr double max_failed_share = 0.02;
+    const auto is_at = [](const auto& intervals, const std::string& instance, auto from, auto to) {
+        return std::ranges::any_of(intervals, [&](const run_state::instance_interval& interval) {
+            return interval.instance == instance && interval.from < to && interval.to > from;
+        });
+    };
+    for (const run_state::instance_interval& cut : run.cuts) {
+        const auto from = cut.from + spread_time;
+        if (from >= cut.to || is_at(run.disturbed, cut.instance, cut.from, cut.to)) {
+            continue;
+        }
+        ++run.faults["cut judged"];
+        std::array<double, 2> asked{};
+        std::array<double, 2> served{};
+        for (const request_result& result : run.callers.results) {
+            const bool is_cut = is_at(run.cuts, result.instance, result.sent, result.sent);
+            const bool is_disturbed = is_at(run.disturbed, result.instance, result.sent, result.ended);
+            const bool counts = result.connected && result.status != 429 && result.sent >= from &&
+                                result.sent < cut.to && !is_disturbed &&
+                                (!is_cut || result.instance == cut.instance);
+            if (counts) {
+                asked.at(is_cut ? 0 : 1) += 1;
+                served.at(is_cut ? 0 : 1) += result.status / 100 == 2 ? 1 : 0;
+            }
+        }
+        const double failed = asked[0] - served[0];
+        const bool is_worse = served[0] * asked[1] < min_ratio * served[1] * asked[0];
+        if (is_worse && failed > max_failed + max_failed_share * (asked[0] + asked[1])) {
+            report_violation(run, "cut instance",
+                             cut.instance + " served " + std::to_string(served[0]) + " of " +
+                                 std::to_string(asked[0]) + ", the others " + std::to_string(served[1]) +
+                                 " of " + std::to_string(asked[1]));
+        }
+    }
+}
+
 void check_revocations(run_state& run)
 {
     for (const auto& [at, number] : run.revoked) {
@@ -462,6 +536,7 @@
     end_processes(run.fleet);
     check_answers(run);
     check_fatal_sends(run);
+    check_cuts(run);
     check_revocations(run);
     check_versions(run);
     check_rate(run);
