--- a/packages/client/src/explain.cpp
+++ b/packages/client/src/explain.cpp
@@ -14,9 +14,10 @@
 // Events that change an instance's state of one target, and those that change its state of anything else.
 constexpr std::array<std::string_view, 6> target_events = {"target_seen",  "target_gone", "target_leaving",
                                                            "target_quiet", "limit_named", "limit_lifted"};
-constexpr std::array<std::string_view, 9> state_events = {
-    "configuration_applied", "store_lost",    "store_regained",   "instance_away", "instance_heard",
-    "evacuation_ordered",    "rollout_moved", "evacuation_ended", "stop_began"};
+constexpr std::array<std::string_view, 11> state_events = {
+    "targets_unreachable", "targets_reached", "configuration_applied", "store_lost",    "store_regained",
+    "instance_away",       "instance_heard",  "evacuation_ordered",    "rollout_moved", "evacuation_ended",
+    "stop_began"};
 constexpr std::array<std::string_view, 4> dependency_events = {"store_lost", "instance_away",
                                                                "peer_link_down", "log_lines_dropped"};
 
@@ -81,6 +82,8 @@
             subject = "target";
         } else if (line.event.starts_with("store_")) {
             subject = "store";
+        } else if (line.event.starts_with("targets_")) {
+            subject = "targets of " + field(line, "service");
         } else if (line.event.starts_with("instance_")) {
             subject = "instance " + field(line, "instance");
         }
@@ -219,16 +222,29 @@
     return "The send to " + target + " ended as " + field(send, "end") + " after " + elapsed + ".";
 }
 
+std::string describe_hop(const log_line& hop)
+{
+    const std::string status = field(hop, "status");
+    return " Instance " + hop.instance + " reached no target of service " + field(hop, "service") +
+           " and passed it on to " + field(hop, "to") +
+           (status == "0" ? ", which did not answer." : ", which answered with status " + status + ".");
+}
+
 std::string describe_cause(std::span<const log_line> request_lines, std::span<const log_line> all_lines)
 {
     const log_line* refusal = nullptr;
     const log_line* send = nullptr;
+    const log_line* hop = nullptr;
     bool caller_left = false;
     for (const log_line& line : request_lines) {
+        hop = line.event == "request_passed_on" ? &line : hop;
         refusal = line.event == "request_refused" ? &line : refusal;
         send = line.event.starts_with("send_") ? &line : send;
         caller_left = caller_left || line.event == "caller_left";
     }
+    if (refusal == nullptr && send == nullptr && hop != nullptr) {
+        return describe_hop(*hop).substr(1);
+    }
     if (refusal == nullptr && send == nullptr) {
         return caller_left ? "The caller closed its connection before the answer." : std::string();
     }
@@ -245,6 +261,7 @@
         });
         cause += target_left ? " The target left afterwards." : "";
     }
+    cause += hop != nullptr ? describe_hop(*hop) : std::string();
     return cause;
 }
 
--- a/packages/client/tests/client_explain_test.cpp
+++ b/packages/client/tests/client_explain_test.cpp
@@ -41,6 +41,29 @@
 
 } // namespace
 
+TEST_CASE("explain: a request that was passed on is explained by both instances")
+{
+    collected_logs logs;
+    std::istringstream first(
+        R"({"time":"2026-01-01T00:00:01.0Z","event":"started","instance":"edge-1"}
+{"time":"2026-01-01T00:00:02.0Z","event":"targets_unreachable","service":"desk"}
+{"time":"2026-01-01T00:00:03.5Z","event":"request_passed_on","request":"r1","service":"desk","to":"edge-2","end":"answered","status":"200"}
+)");
+    read_log(first, "a.jsonl", logs);
+    const std::string hop =
+        "Instance edge-1 reached no target of service desk and passed it on to edge-2, which answered with "
+        "status 200.";
+    CHECK(explain_request(logs.lines, "r1").cause == hop);
+    std::istringstream second(
+        R"({"time":"2026-01-01T00:00:01.0Z","event":"started","instance":"edge-2"}
+{"time":"2026-01-01T00:00:03.4Z","event":"send_answered","request":"r1","target":"i-8","took_ms":"300","expected_warm":"true"}
+)");
+    read_log(second, "b.jsonl", logs);
+    const explanation found = explain_request(logs.lines, "r1");
+    CHECK(found.cause == "It was answered by target i-8 after 300 ms. " + hop);
+    CHECK(found.lines.front().event == "targets_unreachable");
+}
+
 TEST_CASE("explain: a condemned request is explained by the targets that ended, at all instances")
 {
     collected_logs logs;
--- a/packages/edge/src/settings.cpp
+++ b/packages/edge/src/settings.cpp
@@ -1,5 +1,6 @@
 #include "camphorknot/edge/settings.hpp"
 
+#include <arpa/inet.h>
 #include <charconv>
 #include <fstream>
 #include <sstream>
@@ -37,9 +38,18 @@
     return found.Scalar();
 }
 
-std::string optional_text(const YAML::Node& map, const std::string& name)
+std::string optional_ip(const YAML::Node& map, const std::string& name)
 {
-    return map[name] && !map[name].IsNull() ? required_text(map, name) : std::string();
+    if (!map[name] || map[name].IsNull()) {
+        return {};
+    }
+    const std::string ip = required_text(map, name);
+    in_addr parsed{};
+    if (inet_pton(AF_INET, ip.c_str(), &parsed) != 1) {
+        throw settings_exception{
+            {settings_fault::invalid_format, name, "an IPv4 address", line_of(map[name])}};
+    }
+    return ip;
 }
 
 endpoint parse_address(const std::string& address, const std::string& name, int line)
@@ -120,7 +130,7 @@
     settings.identity.front_address = to_text(settings.front);
     settings.identity.peer_address = to_text(settings.peers);
     settings.store = required_address(required_child(root, "store"), "address");
-    settings.egress_ip = optional_text(root, "egress_ip");
+    settings.egress_ip = optional_ip(root, "egress_ip");
     for (const auto& domain : required_child(root, "failure_domains")) {
         settings.failure_domains[domain.first.as<std::string>("")] = domain.second.as<std::string>("");
     }
--- a/packages/edge/tests/edge_codec_test.cpp
+++ b/packages/edge/tests/edge_codec_test.cpp
@@ -88,6 +88,9 @@
     CHECK(wrong.reason.fault == settings_fault::invalid_format);
     CHECK(wrong.reason.field == "address");
     CHECK(wrong.reason.line == 4);
+    const auto bad_gateway = parse_edge_settings(std::string(settings_text) + "egress_ip: gateway\n");
+    REQUIRE_FALSE(bad_gateway);
+    CHECK(bad_gateway.reason.field == "egress_ip");
     CHECK(parse_edge_settings("[1, 2").reason.fault == settings_fault::not_yaml);
     CHECK(parse_edge_settings("a: 1").reason.fault == settings_fault::missing);
     std::string bad_bound = settings_text;
