edge: a stopping instance refuses requests that it may not finish

Cause: connections are accepted for 0.6 of the stop time, and every request on them is taken, however little time is left for it.

The test fails before: the late request is taken and runs.

--- a/packages/client/src/explain.cpp
+++ b/packages/client/src/explain.cpp
@@ -199,6 +199,9 @@
         return "The process had just started, and neither the store nor a peer had sent it a configuration "
                "yet.";
     }
+    if (reason == "stopping") {
+        return "The instance was stopping, and the request came too late to be finished by then.";
+    }
     if (reason == "memory_full") {
         return "This instance had reached its limit for bytes of request bodies held in memory.";
     }
--- a/packages/edge/tests/edge_records_test.cpp
+++ b/packages/edge/tests/edge_records_test.cpp
@@ -168,6 +168,28 @@
     CHECK(camphorknot::edge::wait_until_stopped(*fixture.running, 3s));
 }
 
+TEST_CASE("edge records: a stopping instance refuses what it may not finish, and finishes what it has taken")
+{
+    edge_fixture fixture;
+    fixture.servers.front()->service_ms = 2600;
+    const auto basket = [](const std::string& attempt) {
+        return make_request(http::verb::post, "/basket/1", attempt, "x");
+    };
+    caller early(fixture.settings.front.port);
+    caller late(fixture.settings.front.port);
+    camphorknot::edge::begin_stop(*fixture.running);
+    std::this_thread::sleep_for(2300ms);
+    http::write(early.stream, basket("early"));
+    std::this_thread::sleep_for(1000ms);
+    caller latest(fixture.settings.front.port);
+    // The answer would be due after the process has ended.
+    CHECK(latest.ask(basket("latest")).result_int() == 503);
+    CHECK(fixture.runs_of("latest") == 0);
+    caller_response answer;
+    http::read(early.stream, early.buffer, answer);
+    CHECK(answer.result_int() == 200);
+}
+
 TEST_CASE("edge records: a graceful stop waits for answers that their callers still read")
 {
     constexpr std::size_t answer_bytes = std::size_t{16} * 1024 * 1024;
