edge: "not run" is promised only if no send of the attempt may have run

Cause: the answer of an earlier send was stored as it came, and returned when the next send or search failed, without the translation that an answer of the last send got. The class: each path decided for itself what its answer promises, from what it knew.

Change: what an attempt's sends may have done is one fact of the request, set by sends to targets and to other instances. One function says whether a status is true for it; the one place through which all answers of handled requests leave translates a status that is not to 502, and the session asserts it (p7) in every build.

The test: two targets, one of which answers 503 without a proof, and seven ways in which the send to the other ends, twelve requests each.

Looked for elsewhere: the answer of another instance to which a request was passed on has the same translation; early answers to long bodies and malformed requests are given before any send; a stopping instance refuses on arrival.

--- a/packages/decision/include/camphorknot/steering.hpp
+++ b/packages/decision/include/camphorknot/steering.hpp
@@ -3,6 +3,7 @@
 /// store: routing, placement, queueing, customers' rate limits, retries, fleet membership and rollouts.
 #pragma once
 
+#include "camphorknot/steering/answer_promise.hpp"
 #include "camphorknot/steering/crash_verdicts.hpp"
 #include "camphorknot/steering/fleet.hpp"
 #include "camphorknot/steering/front_selection.hpp"
--- a/packages/edge/src/relay.cpp
+++ b/packages/edge/src/relay.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-// A stopping instance takes no requests later than this fraction of its stop time: it might have to break them
-// off at the end.
+// A stopping instance takes no requests later than this fraction of its stop time: it might have to break
+// them off at the end.
 constexpr double taking_fraction = 0.5;
 // Limit for the total size of the request bodies in memory; further requests with a body are refused.
 constexpr std::size_t max_held_body_bytes = std::size_t{48} * 1024 * 1024;
@@ -38,7 +38,7 @@
             if (plan.last_answer) {
                 co_return std::move(*plan.last_answer);
             }
-            if (plan.may_have_run) {
+            if (request->may_have_run) {
                 co_return refuse(state, *request, bad_gateway, "answer_lost", duration{},
                                  {{"service", plan.service}});
             }
@@ -125,8 +125,10 @@
     }
 }
 
-asio::awaitable<platform::http_response> handle_request(traffic_state& state,
-                                                        std::shared_ptr<caller_request> request)
+namespace {
+
+asio::awaitable<platform::http_response> find_answer(traffic_state& state,
+                                                     std::shared_ptr<caller_request> request)
 {
     if (is_too_late(state, *request)) {
         co_return refuse(state, *request, unavailable, "stopping", jittered_pause(state, short_retry_after));
@@ -177,4 +179,17 @@
     co_return answer;
 }
 
+} // namespace
+
+asio::awaitable<platform::http_response> handle_request(traffic_state& state,
+                                                        std::shared_ptr<caller_request> request)
+{
+    platform::http_response answer = co_await find_answer(state, request);
+    if (steering::is_true_status(answer.result_int(), request->may_have_run)) {
+        co_return answer;
+    }
+    // A target or another instance knows of its own sends only.
+    co_return refuse(state, *request, bad_gateway, "target_failed", duration{});
+}
+
 } // namespace camphorknot::edge
--- a/packages/edge/src/relay.hpp
+++ b/packages/edge/src/relay.hpp
@@ -18,15 +18,6 @@
 inline constexpr unsigned unavailable = 503;
 inline constexpr unsigned gateway_timeout = 504;
 
-/// @return whether the status promises callers that the request has not run.
-constexpr bool implies_not_run(unsigned status)
-{
-    constexpr unsigned request_timeout = 408;
-    constexpr unsigned misdirected = 421;
-    return status == request_timeout || status == misdirected || status == too_many_requests ||
-           status == unavailable;
-}
-
 /// Retry-After for refusals whose cause is short-lived.
 inline constexpr duration short_retry_after = std::chrono::milliseconds(300);
 
@@ -43,7 +34,6 @@
     std::vector<std::string> tried;      ///< Ids of the targets chosen so far.
     unsigned send_count = 0;             ///< Sends that reached their target.
     unsigned connect_failures = 0;       ///< Sends that did not.
-    bool may_have_run = false;           ///< At any of the targets.
     std::optional<steering::request_identity> identity; ///< Computed when the request may be a suspect.
     bool is_suspect = false;                            ///< It was running when targets ended.
     /// A target's error, which becomes the final answer if no retry gives one.
--- a/packages/edge/src/relay_peers.cpp
+++ b/packages/edge/src/relay_peers.cpp
@@ -140,18 +140,15 @@
                        {"took_ms", to_ms(elapsed)}});
 }
 
-// The answer of the other instance, which knows what its own sends did, but not those of this instance.
-platform::http_response take_over_answer(traffic_state& state, const caller_request& request,
-                                         request_plan& plan, const exchange_result& result)
+// The answer of the other instance. A promise of it holds for its own sends only, see handle_request.
+platform::http_response take_over_answer(caller_request& request, request_plan& plan,
+                                         const exchange_result& result)
 {
-    if (!implies_not_run(result.response.result_int())) {
-        plan.may_have_run = true;
+    if (!steering::promises_not_run(result.response.result_int())) {
+        request.may_have_run = true;
         ++plan.send_count;
         return platform::make_caller_answer(result.response);
     }
-    if (plan.may_have_run) {
-        return refuse(state, request, bad_gateway, "answer_lost", duration{}, {{"service", plan.service}});
-    }
     return platform::make_caller_answer(result.response);
 }
 
@@ -177,7 +174,7 @@
                                               request_plan& plan, steering::target peer)
 {
     const bool at_most_once = plan.route->repeats == steering::repeat_policy::at_most_once;
-    check_invariant(!at_most_once || !plan.may_have_run, promise::p8_at_most_once, "sends_of_attempt");
+    check_invariant(!at_most_once || !request->may_have_run, promise::p8_at_most_once, "sends_of_attempt");
     const time_point start = boot_now();
     const duration time_left = plan.deadline - start;
     platform::http_request message =
@@ -191,7 +188,7 @@
     const bool is_lost =
         result.outcome == exchange_outcome::broken || result.outcome == exchange_outcome::timed_out;
     if (is_lost) {
-        plan.may_have_run = true;
+        request->may_have_run = true;
         ++plan.send_count;
     }
     co_return result;
@@ -200,7 +197,7 @@
 platform::http_response refuse_unreachable(traffic_state& state, const caller_request& request,
                                            const request_plan& plan, bool is_timeout)
 {
-    if (!plan.may_have_run) {
+    if (!request.may_have_run) {
         return refuse(state, request, unavailable, "targets_unreachable",
                       jittered_pause(state, short_retry_after), {{"service", plan.service}});
     }
@@ -278,7 +275,7 @@
         tried.push_back(peer->id);
         const exchange_result result = co_await send_to_peer(state, request, plan, *peer);
         if (result.outcome == exchange_outcome::answered) {
-            co_return take_over_answer(state, *request, plan, result);
+            co_return take_over_answer(*request, plan, result);
         }
         if (result.outcome == exchange_outcome::abandoned) {
             co_return refuse(state, *request, bad_gateway, "caller_left", duration{},
--- a/packages/edge/src/relay_send.cpp
+++ b/packages/edge/src/relay_send.cpp
@@ -202,7 +202,7 @@
 asio::awaitable<send_outcome> send_once(traffic_state& state, std::shared_ptr<caller_request> request,
                                         request_plan& plan, steering::placement placement)
 {
-    check_invariant(plan.route->repeats == steering::repeat_policy::idempotent || !plan.may_have_run,
+    check_invariant(plan.route->repeats == steering::repeat_policy::idempotent || !request->may_have_run,
                     promise::p8_at_most_once, "sends_of_attempt");
     steering::target_state& chosen = *placement.chosen;
     const steering::target target = chosen.entry;
@@ -261,7 +261,7 @@
     if (!rule.next.empty() && !not_received) {
         steering::on_request_received(state.version_splits[plan.service], rule.next_share);
     }
-    plan.may_have_run = plan.may_have_run || !never_ran;
+    request->may_have_run = request->may_have_run || !never_ran;
     ++(not_received ? plan.connect_failures : plan.send_count);
     plan.tried.push_back(target.id);
     const bool should_retry = !request->caller_left && may_retry(state, plan, result, outcome, now);
@@ -271,13 +271,7 @@
 platform::http_response make_final_answer(traffic_state& state, const caller_request& request,
                                           const request_plan& plan, const exchange_result& result)
 {
-    const unsigned status = result.response.result_int();
     if (result.outcome == exchange_outcome::answered && !result.metadata.not_run) {
-        if (implies_not_run(status)) {
-            // These statuses promise callers that the request has not run, which this answer does not prove.
-            return refuse(state, request, bad_gateway, "target_failed", duration{},
-                          {{"service", plan.service}});
-        }
         return platform::make_caller_answer(result.response);
     }
     if (result.outcome == exchange_outcome::abandoned) {
@@ -286,8 +280,7 @@
     if (plan.last_answer) {
         return *plan.last_answer;
     }
-    const bool may_have_run = plan.may_have_run;
-    if (!may_have_run) {
+    if (!request.may_have_run) {
         return refuse(state, request, unavailable,
                       result.outcome == exchange_outcome::not_connected ? "target_unreachable"
                                                                         : "target_shed",
--- a/packages/edge/src/sessions.cpp
+++ b/packages/edge/src/sessions.cpp
@@ -194,6 +194,8 @@
     ++state.running_requests;
     watch_caller(state, connection, request);
     platform::http_response answer = co_await handle_request(state, request);
+    check_invariant(steering::is_true_status(answer.result_int(), request->may_have_run), promise::p7_not_run,
+                    "answer_of_attempt");
     boost::system::error_code ignored; // The watch may have ended already.
     connection->stream.socket().cancel(ignored);
     --state.running_requests;
--- a/packages/edge/src/traffic.hpp
+++ b/packages/edge/src/traffic.hpp
@@ -36,8 +36,10 @@
     platform::request_metadata metadata;
     time_point arrived_at{};
     bool caller_left = false;
-    bool from_peer = false;    ///< Passed on by another instance, which has taken the token of the rate.
-    unsigned sends_before = 0; ///< Made by that instance.
+    bool may_have_run =
+        false;              ///< At any target, by a send of this instance or of one that it was passed on to.
+    bool from_peer = false; ///< Passed on by another instance, which has taken the token of the rate.
+    unsigned sends_before = 0;                        ///< Made by that instance.
     std::shared_ptr<exchange_handle> active_exchange; ///< Null unless the request is at a target.
     std::shared_ptr<waiter> active_waiter;            ///< Null unless the request waits in a queue.
 };
--- a/packages/edge/tests/edge_relay_test.cpp
+++ b/packages/edge/tests/edge_relay_test.cpp
@@ -262,3 +262,43 @@
     CHECK(fixture.ask(make_request(http::verb::get, "/find/1", "a2")).result_int() == 200);
     CHECK(fixture.servers.front()->connections == before + 1); // The first connection was closed.
 }
+
+TEST_CASE("edge relay: a refusal that says not run is true, however the sends after an unproved one end")
+{
+    for (const auto second : {server_behavior::shed, server_behavior::other_server, server_behavior::fail,
+                              server_behavior::reset_after_read, server_behavior::cut_short,
+                              server_behavior::silent, server_behavior::refuse_unproved}) {
+        CAPTURE(static_cast<int>(second));
+        edge_fixture fixture(2);
+        fixture.servers.front()->default_behavior = server_behavior::refuse_unproved;
+        fixture.servers.back()->default_behavior = second;
+        for (int number = 0; number < 12; ++number) {
+            const std::string attempt = "a" + std::to_string(number);
+            const unsigned status =
+                fixture.ask(make_request(http::verb::get, "/find/" + attempt, attempt)).result_int();
+            const bool promises_not_run = status == 503 || status == 429 || status == 408 || status == 421;
+            CHECK((!promises_not_run || fixture.runs_of(attempt) == 0));
+        }
+    }
+}
+
+TEST_CASE("edge relay: a refusal that says not run is true if the second target is gone or no retry is left")
+{
+    for (const bool has_retries : {true, false}) {
+        CAPTURE(has_retries);
+        edge_fixture fixture(0);
+        fixture.add_server("i-1");
+        fixture.add_server("i-2");
+        fixture.settings.bounds.retry_allowance = has_retries ? 50 : 0;
+        fixture.start();
+        fixture.servers.front()->default_behavior = server_behavior::refuse_unproved;
+        fixture.register_server("i-2", free_port(), "ready", 200);
+        for (int number = 0; number < 12; ++number) {
+            const std::string attempt = "a" + std::to_string(number);
+            const unsigned status =
+                fixture.ask(make_request(http::verb::get, "/find/" + attempt, attempt)).result_int();
+            CHECK((status != 503 || fixture.runs_of(attempt) == 0));
+            std::this_thread::sleep_for(20ms);
+        }
+    }
+}
