--- a/packages/decision/include/camphorknot/steering/crash_verdicts.hpp
+++ b/packages/decision/include/camphorknot/steering/crash_verdicts.hpp
@@ -23,9 +23,14 @@
     request_identity request;
     std::string service{};
     std::string version{};
-    auto operator<=>(const suspect_key&) const = default;
+    bool operator==(const suspect_key&) const = default;
 };
 
+inline bool operator<(const suspect_key& a, const suspect_key& b)
+{
+    return std::tie(a.request, a.service, a.version) < std::tie(b.request, b.service, b.version);
+}
+
 /// A target incarnation that ended while it ran a request.
 struct ended_run {
     std::string target{};
--- a/packages/decision/include/camphorknot/steering/request_identity.hpp
+++ b/packages/decision/include/camphorknot/steering/request_identity.hpp
@@ -2,9 +2,9 @@
 /// Identity of a request beyond one attempt of a caller.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace camphorknot::steering {
 
@@ -14,9 +14,14 @@
     std::uint64_t high = 0;
     std::uint64_t low = 0;
     std::uint64_t outline = 0; ///< Hash of the same without the body, but with the body's size.
-    auto operator<=>(const request_identity&) const = default;
+    bool operator==(const request_identity&) const = default;
 };
 
+inline bool operator<(const request_identity& a, const request_identity& b)
+{
+    return std::tie(a.high, a.low, a.outline) < std::tie(b.high, b.low, b.outline);
+}
+
 /// @return the identity as 16 hexadecimal digits, for log lines.
 std::string format_identity(const request_identity& identity);
 
