--- a/packages/edge/src/relay_peers.cpp
+++ b/packages/edge/src/relay_peers.cpp
@@ -42,8 +42,9 @@
     }
     std::ranges::shuffle(usable, state.random);
     std::set<std::string> domains;
-    std::ranges::stable_partition(
-        usable, [&](const steering::target& entry) { return domains.insert(entry.failure_domain).second; });
+    std::stable_partition(usable.begin(), usable.end(), [&](const steering::target& entry) {
+        return domains.insert(entry.failure_domain).second;
+    });
     usable.resize(std::min(usable.size(), count));
     return usable;
 }
--- a/packages/edge/src/settings.cpp
+++ b/packages/edge/src/settings.cpp
@@ -43,7 +43,7 @@
     if (!map[name] || map[name].IsNull()) {
         return {};
     }
-    const std::string ip = required_text(map, name);
+    std::string ip = required_text(map, name);
     in_addr parsed{};
     if (inet_pton(AF_INET, ip.c_str(), &parsed) != 1) {
         throw settings_exception{
--- a/packages/edge/tests/edge_reach_test.cpp
+++ b/packages/edge/tests/edge_reach_test.cpp
@@ -18,7 +18,7 @@
 };
 
 // Asks the instance at a constant rate, each time on a new connection.
-tally ask_for(const cut_fixture& fixture, std::size_t instance, bool unsafe, std::string prefix,
+tally ask_for(const cut_fixture& fixture, std::size_t instance, bool unsafe, const std::string& prefix,
               std::chrono::milliseconds time)
 {
     tally result;
