--- a/packages/edge/src/relay_crashes.cpp
+++ b/packages/edge/src/relay_crashes.cpp
@@ -1,4 +1,4 @@
-// Decides which targets ended while they ran requests, and refuses the requests that are condemned by that.
+// Finds out which targets ended while they ran requests, and refuses requests that are condemned for it.
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/packages/edge/src/relay_peers.cpp
+++ b/packages/edge/src/relay_peers.cpp
@@ -53,14 +53,14 @@
 {
     const time_point now = boot_now();
     steering::service_reach& reach = state.reach[service];
-    const time_point unreachable_since = reach.probed_at;
+    const time_point probe_started_at = reach.probed_at;
     if (!steering::on_probe_ended(reach, steering::reach_tuning{}, any_reached, now)) {
         return;
     }
     log_event(log_severity::warning, reach.unreachable ? "targets_unreachable" : "targets_reached",
               {{"service", service},
                {"recovery_ms", to_ms(reach.recovery)},
-               {"probed_ms", to_ms(now - unreachable_since)}});
+               {"probed_ms", to_ms(now - probe_started_at)}});
     gauge(state.metric_registry, "camphorknot_unreachable_services", "")
         .store(static_cast<std::int64_t>(current_access(state).unreachable_services.size()),
                std::memory_order_relaxed);
--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -59,8 +59,9 @@
         clock::time_point from;
         clock::time_point to;
     };
-    std::vector<instance_interval> cuts;      ///< From all servers.
-    std::vector<instance_interval> disturbed; ///< Killed, suspended or stopped, and the time after that.
+    std::vector<instance_interval> cuts;          ///< From all servers.
+    std::vector<instance_interval> disturbed;     ///< Killed, suspended or stopped, and the time after that.
+    std::vector<instance_interval> without_store; ///< Faults of the store or the instance's link to it.
     std::map<std::string, int> faults;
     std::set<pid_t> killed;
     std::vector<std::string> violations;
@@ -140,6 +141,14 @@
     }
 }
 
+void mark_without_store(run_state& run, const instance_process& instance, double length)
+{
+    const auto now = clock::now();
+    run.without_store.push_back(
+        {instance.name, now,
+         now + std::chrono::duration_cast<clock::duration>(seconds(length)) + stabilization_time});
+}
+
 void inject_store_fault(run_state& run)
 {
     constexpr std::array faults = {store_fault::busy, store_fault::reset, store_fault::silent,
@@ -147,6 +156,9 @@
     const double length = uniform_between(run, 0.5, 4);
     mark_unstable(run, length);
     ++run.faults["store"];
+    for (const instance_process& instance : run.fleet.instances) {
+        mark_without_store(run, instance, length);
+    }
     run.fleet.store->fault = faults.at(run.random() % faults.size());
     schedule_after(run, seconds(length), [&run] { run.fleet.store->fault = store_fault::none; });
 }
@@ -162,6 +174,14 @@
     schedule_after(run, seconds(length), [&link] { set_fault(link, link_fault::none); });
 }
 
+void inject_store_link_fault(run_state& run)
+{
+    constexpr double max_length = 4; // As in inject_link_fault.
+    instance_process& instance = random_instance(run);
+    mark_without_store(run, instance, max_length);
+    inject_link_fault(run, *instance.store_link, "store link");
+}
+
 // Cuts the links of an instance to all servers. The store, the other instances and the callers reach it.
 void inject_cut(run_state& run)
 {
@@ -248,7 +268,7 @@
                 inject_store_fault(run);
                 break;
             case 2:
-                inject_link_fault(run, *random_instance(run).store_link, "store link");
+                inject_store_link_fault(run);
                 break;
             case 3:
                 inject_link_fault(run, *random_server(run).link, "server link");
@@ -362,7 +382,8 @@
     };
     for (const run_state::instance_interval& cut : run.cuts) {
         const auto from = cut.from + spread_time;
-        if (from >= cut.to || is_at(run.disturbed, cut.instance, cut.from, cut.to)) {
+        if (from >= cut.to || is_at(run.disturbed, cut.instance, cut.from, cut.to) ||
+            is_at(run.without_store, cut.instance, cut.from, cut.to)) {
             continue;
         }
         ++run.faults["cut judged"];
