steering: targets that end together say nothing about a request at few of them

Found by asking whether an innocent request can be refused: a request that is sent again after each of several batches of ends, and gets no answer in between, was condemned after three batches, although it was at one of four targets each time.

Cause: only the other ends of the same request were looked at. Change: if at least four targets end within 300 ms, the ends count for a request only if it was at half of them or more. Copies of one request that end five targets at once, and two causes at the same times, are still condemned (test).

--- a/packages/decision/include/camphorknot/steering/crash_verdicts.hpp
+++ b/packages/decision/include/camphorknot/steering/crash_verdicts.hpp
@@ -52,6 +52,10 @@
 struct crash_tuning {
     /// Runs, each sent after the target of the one before had ended, after which a request is condemned.
     std::size_t runs_to_condemn = 3;
+    /// Targets that end within this time of each other may have a common cause. If there are at least this
+    /// many and a request was running at less than half of them, their ends say nothing about the request.
+    duration batch_window = std::chrono::milliseconds(300);
+    std::size_t min_batch = 4;
     /// Length of the first verdict. Each further run multiplies it, up to the maximum: a request that comes
     /// again all day reaches few targets, and a wrong verdict does not last.
     duration first_verdict = std::chrono::minutes(2);
@@ -70,7 +74,7 @@
     std::map<std::uint64_t, std::size_t> outlines{}; ///< Number of suspects by request_identity::outline.
 };
 
-/// A suspect as told to other instances, with ages instead of times.
+/// A suspect in a message between instances, with ages instead of times.
 struct crash_report {
     struct run {
         std::string target{};
--- a/packages/decision/src/steering/crash_verdicts.cpp
+++ b/packages/decision/src/steering/crash_verdicts.cpp
@@ -17,35 +17,78 @@
     return {run.target, run.born_ms};
 }
 
+bool has_run(const crash_suspect& suspect, const target_incarnation& target)
+{
+    return std::ranges::any_of(suspect.runs,
+                               [&](const ended_run& run) { return incarnation_of(run) == target; });
+}
+
+// All targets that ended, by the time of their end.
+using target_ends = std::multimap<time_point, target_incarnation>;
+
+target_ends collect_ends(const crash_table& table)
+{
+    std::map<target_incarnation, time_point> first_ends;
+    for (const auto& [key, suspect] : table.suspects) {
+        for (const ended_run& run : suspect.runs) {
+            const auto [place, is_new] = first_ends.emplace(incarnation_of(run), run.ended_at);
+            place->second = std::min(place->second, run.ended_at);
+        }
+    }
+    target_ends ends;
+    for (const auto& [target, ended_at] : first_ends) {
+        ends.emplace(ended_at, target);
+    }
+    return ends;
+}
+
+// What the search for the next verdict knows of the ends.
+struct end_context {
+    target_ends ends;
+    std::set<target_incarnation> explained; // By requests that are condemned already.
+};
+
+// Whether targets ended together at most of which the request was not running.
+bool is_in_foreign_batch(const crash_tuning& tuning, const end_context& context, const crash_suspect& suspect,
+                         const ended_run& run)
+{
+    std::size_t count = 0;
+    std::size_t own_count = 0;
+    const auto first = context.ends.lower_bound(run.ended_at - tuning.batch_window);
+    const auto last = context.ends.upper_bound(run.ended_at + tuning.batch_window);
+    for (auto position = first; position != last; ++position) {
+        const target_incarnation& target = position->second;
+        count += context.explained.contains(target) ? 0 : 1;
+        own_count += has_run(suspect, target) ? 1 : 0;
+    }
+    return count >= tuning.min_batch && 2 * own_count < count;
+}
+
 // Runs of which each was sent after the end of the one before. Copies of a request that ran at the same time
 // say no more than one: a group of targets may have ended together.
-std::vector<const ended_run*> consecutive_runs(const crash_suspect& suspect,
-                                               const std::set<target_incarnation>& explained)
+std::vector<const ended_run*> consecutive_runs(const crash_tuning& tuning, const crash_suspect& suspect,
+                                               const end_context& context)
 {
     std::vector<const ended_run*> consecutive;
     for (const ended_run& run : suspect.runs) {
         const bool follows = consecutive.empty() || run.sent_at >= consecutive.back()->ended_at;
-        if (follows && !explained.contains(incarnation_of(run))) {
+        if (follows && !context.explained.contains(incarnation_of(run)) &&
+            !is_in_foreign_batch(tuning, context, suspect, run)) {
             consecutive.push_back(&run);
         }
     }
     return consecutive;
 }
 
-bool has_run(const crash_suspect& suspect, const ended_run& run)
-{
-    return std::ranges::any_of(
-        suspect.runs, [&](const ended_run& stored) { return incarnation_of(stored) == incarnation_of(run); });
-}
-
 // Whether another request was running at all of these ends as well, so that either may be the cause.
 bool has_rival(const crash_table& table, const suspect_key& key, std::span<const ended_run* const> runs)
 {
     return std::ranges::any_of(table.suspects, [&](const suspect_entry& other) {
         const bool is_other = other.first.request != key.request && !other.second.cleared &&
                               other.second.condemned_until == time_point{};
-        return is_other &&
-               std::ranges::all_of(runs, [&](const ended_run* run) { return has_run(other.second, *run); });
+        return is_other && std::ranges::all_of(runs, [&](const ended_run* run) {
+                   return has_run(other.second, incarnation_of(*run));
+               });
     });
 }
 
@@ -86,8 +129,8 @@
 }
 
 // The suspect with the most consecutive runs among those whose evidence suffices, with these runs.
-std::pair<suspect_entry*, std::vector<const ended_run*>>
-find_next_verdict(crash_table& table, const std::set<target_incarnation>& explained)
+std::pair<suspect_entry*, std::vector<const ended_run*>> find_next_verdict(crash_table& table,
+                                                                           const end_context& context)
 {
     std::pair<suspect_entry*, std::vector<const ended_run*>> next = {nullptr, {}};
     for (suspect_entry& entry : table.suspects) {
@@ -98,7 +141,7 @@
         if (entry.second.runs.size() < needed) {
             continue;
         }
-        std::vector<const ended_run*> runs = consecutive_runs(entry.second, explained);
+        std::vector<const ended_run*> runs = consecutive_runs(table.tuning, entry.second, context);
         if (runs.size() >= needed && runs.size() > next.second.size() &&
             !has_rival(table, entry.first, runs)) {
             next = {&entry, std::move(runs)};
@@ -113,16 +156,16 @@
     for (auto& [key, suspect] : table.suspects) {
         suspect.condemned_until = time_point{};
     }
-    std::set<target_incarnation> explained;
+    end_context context{collect_ends(table), {}};
     while (true) {
-        const auto [entry, runs] = find_next_verdict(table, explained);
+        const auto [entry, runs] = find_next_verdict(table, context);
         if (entry == nullptr) {
             return;
         }
         const std::size_t further_runs = runs.size() - std::min(runs.size(), table.tuning.runs_to_condemn);
         entry->second.condemned_until = runs.back()->ended_at + verdict_length(table.tuning, further_runs);
         for (const ended_run& run : entry->second.runs) {
-            explained.insert(incarnation_of(run));
+            context.explained.insert(incarnation_of(run));
         }
     }
 }
@@ -208,7 +251,12 @@
         return false;
     }
     suspect.changed_at = now;
-    if (suspect.runs.size() >= needed_runs(table, key)) {
+    // The end also belongs to a batch, which matters to the verdicts on others.
+    const bool may_matter =
+        needed_runs(table, key) == 1 || std::ranges::any_of(table.suspects, [&](const suspect_entry& entry) {
+            return entry.second.runs.size() >= table.tuning.runs_to_condemn;
+        });
+    if (may_matter) {
         update_verdicts(table);
     }
     return true;
--- a/packages/decision/tests/steering_crash_verdicts_test.cpp
+++ b/packages/decision/tests/steering_crash_verdicts_test.cpp
@@ -69,7 +69,62 @@
     CHECK(is_condemned(table, key_of(1), 1s));
 }
 
-TEST_CASE("crash verdicts: one incarnation of a target counts once, by however many ways it is told")
+TEST_CASE("crash verdicts: a request at one of several targets that end together, again and again, is not "
+          "the cause")
+{
+    crash_table table;
+    for (int round = 0; round < 4; ++round) {
+        const auto sent = std::chrono::seconds(round);
+        for (std::uint64_t request = 1; request <= 4; ++request) {
+            const std::string target = "t" + std::to_string(round) + "-" + std::to_string(request);
+            // Request 1 comes again each time, the others are new ones.
+            const std::uint64_t number = request == 1 ? 1 : static_cast<std::uint64_t>(round) * 10 + request;
+            const auto ended = sent + 500ms + std::chrono::milliseconds(request * 10);
+            on_run_ended(table, key_of(number), run_at(target, sent, ended), start + ended);
+        }
+    }
+    CHECK_FALSE(is_condemned(table, key_of(1), 4s));
+    // It is if targets end under it alone.
+    for (int round = 5; round < 8; ++round) {
+        const auto sent = std::chrono::seconds(round);
+        on_run_ended(table, key_of(1), run_at("a" + std::to_string(round), sent, sent + 500ms),
+                     start + sent + 500ms);
+    }
+    CHECK(is_condemned(table, key_of(1), 8s));
+}
+
+TEST_CASE("crash verdicts: copies of a request that end many targets together do not hide it")
+{
+    crash_table table;
+    for (int round = 0; round < 3; ++round) {
+        const auto sent = std::chrono::seconds(round);
+        for (std::uint64_t copy = 0; copy < 5; ++copy) {
+            const ended_run run = run_at("t" + std::to_string(round) + "-" + std::to_string(copy), sent,
+                                         sent + 500ms + std::chrono::milliseconds(copy * 20));
+            on_run_ended(table, key_of(1), run, run.ended_at);
+            const std::uint64_t beside = 100 + static_cast<std::uint64_t>(round) * 10 + copy;
+            on_run_ended(table, key_of(beside), run, run.ended_at);
+        }
+    }
+    CHECK(is_condemned(table, key_of(1), 4s));
+    // A second cause at the same times does not hide the first one either.
+    crash_table two_causes;
+    for (int round = 0; round < 3; ++round) {
+        const auto sent = std::chrono::seconds(round);
+        for (std::uint64_t request = 1; request <= 2; ++request) {
+            for (int copy = 0; copy < 2; ++copy) {
+                const std::string target =
+                    std::to_string(request) + "-" + std::to_string(round) + "-" + std::to_string(copy);
+                const ended_run run = run_at(target, sent, sent + 500ms);
+                on_run_ended(two_causes, key_of(request), run, run.ended_at);
+            }
+        }
+    }
+    CHECK(is_condemned(two_causes, key_of(1), 4s));
+    CHECK(is_condemned(two_causes, key_of(2), 4s));
+}
+
+TEST_CASE("crash verdicts: an incarnation of a target counts once, however often its end is reported")
 {
     crash_table table;
     for (int copy = 0; copy < 5; ++copy) {
