--- a/packages/edge/tests/cut_fixture.hpp
+++ b/packages/edge/tests/cut_fixture.hpp
@@ -19,8 +19,11 @@
     std::thread link_thread;
     std::vector<std::vector<std::unique_ptr<standins::proxy>>> links; ///< By instance, then by server.
 
-    cut_fixture(int server_count, int instance_count) : fleet_fixture(server_count, 0)
+    cut_fixture(int server_count, int instance_count,
+                const std::vector<std::string>& failure_domains = {"rvk-a", "rvk-b"})
+        : fleet_fixture(server_count, 0)
     {
+        domains = failure_domains;
         for (int number = 0; number < instance_count; ++number) {
             settings.egress_ip = local_ip();
             settings.egress_ip.replace(settings.egress_ip.find(".0."), 3,
@@ -64,6 +67,15 @@
         done.get_future().wait();
     }
 
+    /// @return the requests that the instance has received, its own callers' and those passed on to it.
+    long requests_at(std::size_t instance) const
+    {
+        const std::string page = get_from(all_settings.at(instance).metrics.port, "/metrics").body();
+        const std::string name = "\ncamphorknot_requests_total ";
+        const std::size_t at = page.find(name);
+        return at == std::string::npos ? -1 : std::stol(page.substr(at + name.size()));
+    }
+
     caller_response ask_at(std::size_t instance, const caller_request& request) const
     {
         return caller(all_settings.at(instance).front.port).ask(request);
--- a/packages/edge/tests/edge_crash_test.cpp
+++ b/packages/edge/tests/edge_crash_test.cpp
@@ -168,7 +168,7 @@
 }
 
 TEST_CASE(
-    "edge crash: the instance that saw the ends is gone at once, the others know, also one that starts later")
+    "edge crash: the verdict survives the instance that saw the ends, and reaches one that starts later")
 {
     crash_fixture fixture(6, 4);
     const caller_request fatal = make_request(http::verb::get, "/find/fatal", "f");
@@ -239,3 +239,39 @@
     CHECK(served > 50);
     CHECK(is_refused_as_condemned(fixture.ask(make_request(http::verb::get, "/find/fatal", "last"))));
 }
+
+TEST_CASE("edge crash: batches of servers that end by themselves condemn no request")
+{
+    crash_fixture fixture(6, 2);
+    for (auto& server : fixture.servers) {
+        server->service_ms = 350;
+        server->restart_ms = 150;
+    }
+    std::atomic<bool> running{true};
+    std::atomic<int> condemned{0};
+    std::vector<std::thread> callers;
+    for (int number = 0; number < 12; ++number) {
+        callers.emplace_back([&, number] {
+            for (int round = 0; running; ++round) {
+                caller connection(fixture.all_settings.at(static_cast<std::size_t>(number) % 2).front.port);
+                // Half of the callers ask for the same object, the others for one of their own.
+                const std::string path = number % 2 == 0 ? "popular" : "own" + std::to_string(number);
+                const std::string attempt = "b" + std::to_string(number) + "-" + std::to_string(round);
+                const auto answer = connection.ask(make_request(http::verb::get, "/find/" + path, attempt));
+                condemned += is_refused_as_condemned(answer) ? 1 : 0;
+            }
+        });
+    }
+    // Most runs are broken off, again and again.
+    for (int batch = 0; batch < 12; ++batch) {
+        std::this_thread::sleep_for(400ms);
+        for (auto& server : fixture.servers) {
+            standins::end_server(*server);
+        }
+    }
+    running = false;
+    for (std::thread& thread : callers) {
+        thread.join();
+    }
+    CHECK(condemned == 0);
+}
--- a/packages/edge/tests/edge_reach_test.cpp
+++ b/packages/edge/tests/edge_reach_test.cpp
@@ -1,6 +1,8 @@
 // Instances without a path to any target.
 #include <catch2/catch.hpp>
 
+#include <array>
+
 #include "cut_fixture.hpp"
 
 using namespace edge_tests;
@@ -104,7 +106,8 @@
     CHECK(fixture.ask_at(0, unknown).result_int() == 401);
 }
 
-TEST_CASE("edge reach: targets that nobody reaches are refused at once, and served soon after they are back")
+TEST_CASE("edge reach: targets that no instance reaches: requests are refused without delay, and served "
+          "after the return")
 {
     cut_fixture fixture(4, 2);
     for (const std::size_t instance : {0, 1}) {
@@ -185,3 +188,117 @@
     CHECK((status == 502 || status == 504));
     CHECK(fixture.runs_of("lost") == 1);
 }
+
+TEST_CASE("edge reach: all instances of a failure domain are cut, and their callers are served")
+{
+    cut_fixture fixture(4, 4);
+    for (const std::size_t instance : {0, 2}) {
+        fixture.set_links(instance, link_fault::hang);
+    }
+    std::vector<std::thread> callers;
+    std::array<tally, 2> tallies;
+    for (const std::size_t index : {0, 1}) {
+        callers.emplace_back([&fixture, &tallies, index] {
+            const std::size_t instance = 2 * index;
+            ask_for(fixture, instance, false, "n" + std::to_string(instance), contact_time);
+            tallies.at(index) = ask_for(fixture, instance, true, "s" + std::to_string(instance), 1500ms);
+        });
+    }
+    for (std::thread& caller : callers) {
+        caller.join();
+    }
+    for (const tally& result : tallies) {
+        CHECK(result.asked > 10);
+        CHECK(result.served * 3 >= result.asked * 2);
+    }
+    const auto answer = fixture.get_from(fixture.all_settings.at(1).directory.port,
+                                         "/-/resolve?name=seals.example&region=rvk&zone=rvk-a");
+    for (const std::size_t instance : {0, 2}) {
+        const std::string port = ":" + std::to_string(fixture.all_settings.at(instance).front.port) + "\"";
+        CHECK(answer.body().find(port) == std::string::npos);
+    }
+}
+
+TEST_CASE("edge reach: a request with homes is passed on to an instance there, or refused")
+{
+    cut_fixture fixture(3, 3, {"aku-a", "aku-b", "rvk-a"});
+    const auto set_home = [&](int version, const std::string& region) {
+        standins::put_row(
+            *fixture.store, "op", "config",
+            configuration_row(version, R"({"resource_kind":"tenants","metadata":{"name":"gullfoss"},"spec":
+                {"api_keys":["key-one"],"rate_per_s":0,"burst":0,"allowed_regions":[")" +
+                                           region + R"("]}},)"));
+        std::this_thread::sleep_for(2s);
+    };
+    fixture.set_links(0, link_fault::down);
+    ask_for(fixture, 0, false, "n", 1500ms);
+    // Without homes the instance of the own region is preferred.
+    const long near_before = fixture.requests_at(1);
+    CHECK(fixture.ask_at(0, make_request(http::verb::post, "/seal/1", "free", "x")).result_int() == 200);
+    CHECK(fixture.requests_at(1) == near_before + 1);
+    set_home(2, "rvk");
+    const long near = fixture.requests_at(1);
+    const long home = fixture.requests_at(2);
+    const tally served = ask_for(fixture, 0, true, "h", 1s);
+    CHECK(served.asked > 5);
+    CHECK(served.served == served.asked);
+    CHECK(fixture.requests_at(1) == near);
+    CHECK(fixture.requests_at(2) == home + served.asked);
+    set_home(3, "egs");
+    const tally refused = ask_for(fixture, 0, true, "r", 500ms);
+    CHECK(refused.served == 0);
+    CHECK(fixture.requests_at(1) == near);
+    CHECK(fixture.requests_at(2) == home + served.asked);
+}
+
+TEST_CASE("edge reach: the rate of a customer is counted once for passed-on requests, and still holds")
+{
+    constexpr double rate = 10;
+    constexpr double burst = 10;
+    cut_fixture fixture(3, 2);
+    standins::put_row(*fixture.store, "op", "config",
+                      configuration_row(2, R"({"resource_kind":"tenants","metadata":{"name":"gullfoss"},
+                          "spec":{"api_keys":["key-one"],"rate_per_s":10,"burst":10}},)"));
+    fixture.set_links(0, link_fault::down);
+    ask_for(fixture, 0, false, "n", 4s); // Meanwhile the share follows the demand.
+    std::this_thread::sleep_for(2s);
+    int served = 0;
+    for (int number = 0; number < 20; ++number) {
+        const std::string attempt = "s" + std::to_string(number);
+        served += fixture.ask_at(0, make_request(http::verb::get, "/find/1", attempt)).result_int() == 200;
+        std::this_thread::sleep_for(220ms);
+    }
+    CHECK(served == 20);
+    const auto start = clock_type::now();
+    const tally pressed = ask_for(fixture, 0, false, "p", 4s);
+    const double elapsed_s = std::chrono::duration<double>(clock_type::now() - start).count();
+    CHECK(pressed.asked > 60);
+    CHECK(pressed.served <= rate * elapsed_s + burst);
+}
+
+TEST_CASE("edge reach: a caller that leaves stops the work of the target behind another instance")
+{
+    cut_fixture fixture(3, 2);
+    fixture.set_links(0, link_fault::down);
+    ask_for(fixture, 0, false, "n", 1500ms);
+    for (auto& server : fixture.servers) {
+        const std::lock_guard lock(server->guard);
+        server->default_behavior = standins::server_behavior::silent;
+    }
+    const auto left = [&] {
+        int count = 0;
+        for (auto& server : fixture.servers) {
+            count += server->left_while_silent;
+        }
+        return count;
+    };
+    {
+        caller leaving(fixture.all_settings.at(0).front.port);
+        http::write(leaving.stream, make_request(http::verb::get, "/find/1", "gone"));
+        REQUIRE(eventually([&] { return fixture.runs_of("gone") == 1; }));
+        CHECK(left() == 0);
+    }
+    std::this_thread::sleep_for(500ms);
+    CHECK(left() == 1);
+    CHECK(fixture.runs_of("gone") == 1);
+}
--- a/packages/edge/tests/fleet_fixture.hpp
+++ b/packages/edge/tests/fleet_fixture.hpp
@@ -10,6 +10,8 @@
 struct fleet_fixture : edge_fixture {
     std::vector<camphorknot::edge::edge_settings> all_settings;
     std::vector<camphorknot::edge::instance_handle> instances;
+    /// Failure domains, to which the instances belong in turn; the part before the dash is the region.
+    std::vector<std::string> domains = {"rvk-a", "rvk-b"};
 
     fleet_fixture(int server_count, int instance_count) : edge_fixture(0)
     {
@@ -30,10 +32,14 @@
     void start_member(int number)
     {
         settings.identity.name = "edge-" + std::to_string(number);
-        settings.identity.failure_domain = number % 2 == 0 ? "rvk-a" : "rvk-b";
-        settings.identity.region = "rvk";
+        const auto region_of = [](const std::string& domain) { return domain.substr(0, domain.find('-')); };
+        settings.identity.failure_domain = domains.at(static_cast<std::size_t>(number) % domains.size());
+        settings.identity.region = region_of(settings.identity.failure_domain);
         settings.identity.incarnation = static_cast<std::uint64_t>(number) + 1;
-        settings.failure_domains = {{"rvk-a", "rvk"}, {"rvk-b", "rvk"}};
+        settings.failure_domains.clear();
+        for (const std::string& domain : domains) {
+            settings.failure_domains[domain] = region_of(domain);
+        }
         settings.seeds.clear();
         for (const auto& earlier : all_settings) {
             settings.seeds.push_back(earlier.identity.peer_address);
