edge tests: the test of a rate that is counted once finds a second count

With the token taken by both instances it passed, since 5 requests a second fit twice into the rate of 10. At 8 a second a scratch build that counts twice serves 25 of 32 and fails; the code serves all. Scratch builds that ignore homes, or do not close the connection to the other instance, fail their tests too. The test of batches through an instance passes without the rule on batches: the rule is shown by the decision's test only.

--- a/packages/edge/tests/edge_reach_test.cpp
+++ b/packages/edge/tests/edge_reach_test.cpp
@@ -263,12 +263,13 @@
     ask_for(fixture, 0, false, "n", 4s); // Meanwhile the share follows the demand.
     std::this_thread::sleep_for(2s);
     int served = 0;
-    for (int number = 0; number < 20; ++number) {
+    constexpr int count = 32;
+    for (int number = 0; number < count; ++number) {
         const std::string attempt = "s" + std::to_string(number);
         served += fixture.ask_at(0, make_request(http::verb::get, "/find/1", attempt)).result_int() == 200;
-        std::this_thread::sleep_for(220ms);
+        std::this_thread::sleep_for(125ms);
     }
-    CHECK(served == 20);
+    CHECK(served == count);
     const auto start = clock_type::now();
     const tally pressed = ask_for(fixture, 0, false, "p", 4s);
     const double elapsed_s = std::chrono::duration<double>(clock_type::now() - start).count();
