--- a/packages/decision/src/steering/fleet.cpp
+++ b/packages/decision/src/steering/fleet.cpp
@@ -2,11 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
 #include <tuple>
 
-#include "camphorknot/steering/front_selection.hpp"
-
 namespace camphorknot::steering {
 namespace {
 
@@ -41,85 +38,6 @@
     return {reads_store, link_mbps, task_weight(name, delegate_task)};
 }
 
-// Adds each item to the sum of its key; the sums are in the order of the keys.
-template <typename Item, typename Key, typename Add>
-void add_all(std::map<Key, Item>& sums, std::span<const Item> items, auto key_of, Add add)
-{
-    for (const Item& item : items) {
-        const auto [place, is_new] = sums.emplace(key_of(item), item);
-        if (!is_new) {
-            add(place->second, item);
-        }
-    }
-}
-
-template <typename Key, typename Item>
-std::vector<Item> values_of(const std::map<Key, Item>& sums)
-{
-    std::vector<Item> values;
-    values.reserve(sums.size());
-    for (const auto& [key, value] : sums) {
-        values.push_back(value);
-    }
-    return values;
-}
-
-struct report_sums {
-    std::map<std::string, customer_demand> demands;
-    std::map<std::string, target_in_flight> in_flight;
-    std::map<std::pair<std::string, std::uint64_t>, rollout_progress> rollouts;
-    std::map<std::tuple<std::string, std::string, std::string>, version_counts> counts;
-    std::map<std::string, target_notice> notices;
-    float requests_per_s = 0;
-};
-
-void add_rollout(rollout_progress& sum, const rollout_progress& progress)
-{
-    sum.elapsed = std::max(sum.elapsed, progress.elapsed);
-    sum.share = std::min(sum.share, progress.share);
-    sum.stopped = sum.stopped || progress.stopped;
-    sum.old_in_flight += progress.old_in_flight;
-}
-
-void add_report(report_sums& sums, const load_report& report)
-{
-    sums.requests_per_s += report.requests_per_s;
-    add_all(
-        sums.demands, std::span(report.demands), [](const auto& demand) { return demand.customer; },
-        [](auto& sum, const auto& demand) { sum.per_s += demand.per_s; });
-    add_all(
-        sums.in_flight, std::span(report.in_flight), [](const auto& load) { return load.target; },
-        [](auto& sum, const auto& load) { sum.requests += load.requests; });
-    add_all(
-        sums.rollouts, std::span(report.rollouts),
-        [](const auto& progress) { return std::pair(progress.service, progress.order_version); },
-        add_rollout);
-    add_all(
-        sums.counts, std::span(report.counts),
-        [](const auto& counts) { return std::tuple(counts.service, counts.version, counts.route); },
-        [](auto& sum, const auto& counts) {
-            sum.answers += counts.answers;
-            sum.failing_answers += counts.failing_answers;
-            sum.unanswered += counts.unanswered;
-            sum.sent += counts.sent;
-        });
-    add_all(
-        sums.notices, std::span(report.notices), [](const auto& notice) { return notice.target; },
-        [](auto& newest, const auto& notice) {
-            const bool is_newer =
-                notice.born_ms != newest.born_ms ? notice.born_ms > newest.born_ms : notice.age < newest.age;
-            const bool leaving = newest.born_ms == notice.born_ms && (newest.leaving || notice.leaving);
-            newest = is_newer ? notice : newest;
-            newest.leaving = newest.leaving || leaving;
-        });
-}
-
-load_report to_report(const report_sums& sums)
-{
-    return {values_of(sums.demands), values_of(sums.in_flight), values_of(sums.rollouts),
-            values_of(sums.counts),  sums.requests_per_s,       values_of(sums.notices)};
-}
-
 void on_instance_seen(fleet& peers, const std::string& name, time_point now)
 {
     peers.last_seen[name] = now;
@@ -142,51 +60,8 @@
     }
 }
 
-std::vector<instance_contact> live_contacts(const fleet& peers, bool own_is_ready, time_point now)
-{
-    std::vector<instance_contact> contacts;
-    if (own_is_ready) {
-        contacts.push_back(contact_of(peers.own));
-        contacts.back().access = peers.own_access;
-    }
-    for (const instance_status* status : live_statuses(peers, now)) {
-        contacts.push_back(contact_of(*status));
-    }
-    for (const domain_summary* summary : live_summaries(peers, now)) {
-        contacts.insert(contacts.end(), summary->members.begin(), summary->members.end());
-    }
-    return contacts;
-}
-
 } // namespace
 
-instance_contact contact_of(const instance_identity& identity)
-{
-    return {identity.name,           identity.failure_domain, identity.region,
-            identity.front_address,  identity.peer_address,   identity.link_mbps,
-            identity.cpu_millicores, identity.relay_address,  {}};
-}
-
-instance_contact contact_of(const instance_status& status)
-{
-    instance_contact contact = contact_of(status.identity);
-    contact.access = status.access;
-    return contact;
-}
-
-std::vector<next_hop> live_next_hops(const fleet& peers, time_point now)
-{
-    std::vector<next_hop> hops;
-    for (instance_contact& contact : live_contacts(peers, false, now)) {
-        if (!contact.relay_address.empty()) {
-            hops.push_back({std::move(contact.name), std::move(contact.failure_domain),
-                            std::move(contact.region), std::move(contact.relay_address),
-                            std::move(contact.access.unreachable_services)});
-        }
-    }
-    return hops;
-}
-
 bool on_status_received(fleet& peers, instance_status status, time_point now)
 {
     const auto found = peers.members.find(status.identity.name);
@@ -435,42 +310,6 @@
     return ordered;
 }
 
-domain_summary make_summary(const fleet& peers, const instance_status& own, std::uint64_t sequence,
-                            time_point now)
-{
-    domain_summary summary;
-    summary.failure_domain = peers.own.failure_domain;
-    summary.region = peers.own.region;
-    summary.delegate = peers.own.name + "/" + std::to_string(peers.own.incarnation);
-    summary.sequence = sequence;
-    summary.positions = own.positions;
-    summary.reads_store = own.reads_store;
-    report_sums sums;
-    add_report(sums, own.load);
-    if (!own.leaving) {
-        summary.members.push_back(contact_of(own));
-    }
-    for (const instance_status* status : live_statuses(peers, now)) {
-        add_report(sums, status->load);
-        summary.members.push_back(contact_of(*status));
-    }
-    summary.load = to_report(sums);
-    summary.crashes = own.crashes;
-    return summary;
-}
-
-load_report sum_of_peer_reports(const fleet& peers, time_point now)
-{
-    report_sums sums;
-    for (const instance_status* status : live_statuses(peers, now)) {
-        add_report(sums, status->load);
-    }
-    for (const domain_summary* summary : live_summaries(peers, now)) {
-        add_report(sums, summary->load);
-    }
-    return to_report(sums);
-}
-
 void update_peak_rate(peak_rate& rate, double per_s, time_point now)
 {
     rate.per_s = std::max(peak_rate_at(rate, now), per_s);
@@ -492,40 +331,4 @@
     return sum;
 }
 
-std::vector<std::string> front_addresses_for(const fleet& peers, std::string_view region,
-                                             std::string_view domain, bool own_is_ready, time_point now)
-{
-    std::vector<instance_contact> live = live_contacts(peers, own_is_ready, now);
-    const auto reaches_any = [](const instance_contact& contact) { return contact.access.reaches_any; };
-    if (std::ranges::any_of(live, reaches_any)) {
-        std::erase_if(live, std::not_fn(reaches_any));
-    }
-    const auto contacts_if = [&](auto matches) {
-        std::vector<instance_contact> contacts;
-        std::ranges::copy_if(live, std::back_inserter(contacts), matches);
-        return contacts;
-    };
-    auto contacts =
-        contacts_if([&](const instance_contact& contact) { return contact.failure_domain == domain; });
-    if (contacts.empty()) {
-        contacts = contacts_if([&](const instance_contact& contact) { return contact.region == region; });
-    }
-    if (contacts.empty()) {
-        contacts = live;
-    }
-    std::set<std::string_view> domains = {domain};
-    for (const instance_contact& contact : contacts) {
-        domains.insert(contact.failure_domain);
-    }
-    double requests_per_s = 0;
-    for (const auto& [name, rate] : peers.request_rates) {
-        requests_per_s += domains.contains(name) ? peak_rate_at(rate, now) : 0;
-    }
-    std::vector<std::string> addresses;
-    for (instance_contact& contact : select_fronts(std::move(contacts), requests_per_s, {})) {
-        addresses.push_back(std::move(contact.front_address));
-    }
-    return addresses;
-}
-
 } // namespace camphorknot::steering
--- a/packages/edge/src/relay_peers.cpp
+++ b/packages/edge/src/relay_peers.cpp
@@ -148,7 +148,6 @@
     if (!steering::promises_not_run(result.response.result_int())) {
         request.may_have_run = true;
         ++plan.send_count;
-        return platform::make_caller_answer(result.response);
     }
     return platform::make_caller_answer(result.response);
 }
