--- a/tools/soak/callers.cpp
+++ b/tools/soak/callers.cpp
@@ -41,6 +41,16 @@
     return standins::make_caller_request(spec);
 }
 
+asio::awaitable<std::shared_ptr<connection>> connect_to(deployment& fleet, std::string ip,
+                                                        boost::system::error_code& error)
+{
+    auto opened = std::make_shared<connection>(fleet.context);
+    opened->stream.expires_after(connect_timeout);
+    const tcp::endpoint front(asio::ip::make_address(ip), front_port);
+    co_await opened->stream.async_connect(front, asio::redirect_error(asio::use_awaitable, error));
+    co_return opened;
+}
+
 asio::awaitable<standins::caller_response> exchange(std::shared_ptr<connection> open_connection,
                                                     standins::caller_request request,
                                                     boost::system::error_code& error)
@@ -79,12 +89,8 @@
     asio::steady_timer pause_timer(fleet.context);
     while (log.running) {
         instance_process& instance = fleet.instances.at(random() % fleet.instances.size());
-        auto open_connection = std::make_shared<connection>(fleet.context);
         boost::system::error_code error;
-        open_connection->stream.expires_after(connect_timeout);
-        const tcp::endpoint front(asio::ip::make_address(instance.ip), front_port);
-        co_await open_connection->stream.async_connect(front,
-                                                       asio::redirect_error(asio::use_awaitable, error));
+        auto open_connection = co_await connect_to(fleet, instance.ip, error);
         bool keep_open = !error;
         for (int count = 0; count < max_requests_per_connection && keep_open && log.running; ++count) {
             request_result result;
@@ -110,12 +116,8 @@
     asio::steady_timer pause_timer(fleet.context);
     while (log.running) {
         const instance_process& instance = fleet.instances.at(random() % fleet.instances.size());
-        auto open_connection = std::make_shared<connection>(fleet.context);
         boost::system::error_code error;
-        open_connection->stream.expires_after(connect_timeout);
-        const tcp::endpoint front(asio::ip::make_address(instance.ip), front_port);
-        co_await open_connection->stream.async_connect(front,
-                                                       asio::redirect_error(asio::use_awaitable, error));
+        auto open_connection = co_await connect_to(fleet, instance.ip, error);
         if (!error) {
             standins::caller_request_spec spec;
             spec.attempt = "fatal" + std::to_string(log.next_attempt++);
--- /dev/null
+++ b/tools/soak/faults.cpp
@@ -0,0 +1,237 @@
+#include "faults.hpp"
+
+#include <csignal>
+
+namespace soak {
+
+using standins::server_behavior;
+using standins::store_fault;
+
+void schedule_after(run_state& run, seconds delay, std::function<void()> action)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(run.fleet.context);
+    timer->expires_after(std::chrono::duration_cast<clock::duration>(delay));
+    timer->async_wait([action = std::move(action), timer](boost::system::error_code cancelled) {
+        if (!cancelled) {
+            action();
+        }
+    });
+    run.timers.push_back(std::move(timer));
+}
+
+namespace {
+
+double uniform_between(run_state& run, double low, double high)
+{
+    return std::uniform_real_distribution<double>(low, high)(run.random);
+}
+
+instance_process& random_instance(run_state& run)
+{
+    return run.fleet.instances.at(run.random() % run.fleet.instances.size());
+}
+
+server_process& random_server(run_state& run)
+{
+    return run.fleet.servers.at(run.random() % run.fleet.servers.size());
+}
+
+void mark_unstable(run_state& run, double length)
+{
+    const auto now = clock::now();
+    run.unstable.emplace_back(now, now + std::chrono::duration_cast<clock::duration>(seconds(length)));
+}
+
+void schedule_restart(run_state& run, instance_process& instance, double delay)
+{
+    schedule_after(run, seconds(delay), [&run, &instance] {
+        if (!is_running(instance)) {
+            start_process(run.fleet, instance);
+        } else {
+            schedule_restart(run, instance, 0.2);
+        }
+    });
+}
+
+void inject_process_fault(run_state& run)
+{
+    instance_process& instance = random_instance(run);
+    const auto choice = run.random() % 3;
+    const double length = uniform_between(run, 0.3, 3);
+    if (!is_running(instance) || instance.suspended || instance.stop_sent != clock::time_point{}) {
+        return;
+    }
+    mark_unstable(run, length + 1);
+    const auto now = clock::now();
+    constexpr double max_stop_s = 9; // A stop, the pause until the start, and the start.
+    run.disturbed.push_back(
+        {instance.name, now,
+         now + std::chrono::duration_cast<clock::duration>(seconds(max_stop_s)) + stabilization_time});
+    if (choice == 0) {
+        ++run.faults["kill"];
+        run.killed.insert(instance.pid);
+        signal_process(instance, SIGKILL);
+        schedule_restart(run, instance, length);
+    } else if (choice == 1) {
+        ++run.faults["suspend"];
+        signal_process(instance, SIGSTOP);
+        schedule_after(run, seconds(length), [&instance] { signal_process(instance, SIGCONT); });
+    } else {
+        ++run.faults["stop"];
+        signal_process(instance, SIGTERM);
+        schedule_restart(run, instance, 3);
+    }
+}
+
+void mark_without_store(run_state& run, const instance_process& instance, double length)
+{
+    const auto now = clock::now();
+    run.without_store.push_back(
+        {instance.name, now,
+         now + std::chrono::duration_cast<clock::duration>(seconds(length)) + stabilization_time});
+}
+
+void inject_store_fault(run_state& run)
+{
+    constexpr std::array faults = {store_fault::busy, store_fault::reset, store_fault::silent,
+                                   store_fault::lost_answer};
+    const double length = uniform_between(run, 0.5, 4);
+    mark_unstable(run, length);
+    ++run.faults["store"];
+    for (const instance_process& instance : run.fleet.instances) {
+        mark_without_store(run, instance, length);
+    }
+    run.fleet.store->fault = faults.at(run.random() % faults.size());
+    schedule_after(run, seconds(length), [&run] { run.fleet.store->fault = store_fault::none; });
+}
+
+void inject_link_fault(run_state& run, proxy& link, const std::string& name)
+{
+    constexpr std::array faults = {link_fault::delayed, link_fault::reset, link_fault::one_way,
+                                   link_fault::silent, link_fault::blackhole};
+    const double length = uniform_between(run, 0.5, 4);
+    mark_unstable(run, length);
+    ++run.faults[name];
+    set_fault(link, faults.at(run.random() % faults.size()));
+    schedule_after(run, seconds(length), [&link] { set_fault(link, link_fault::none); });
+}
+
+void inject_store_link_fault(run_state& run)
+{
+    constexpr double max_length = 4; // As in inject_link_fault.
+    instance_process& instance = random_instance(run);
+    mark_without_store(run, instance, max_length);
+    inject_link_fault(run, *instance.store_link, "store link");
+}
+
+// Cuts the links of an instance to all servers. The store, the other instances and the callers reach it.
+void inject_cut(run_state& run)
+{
+    constexpr std::array cuts = {link_fault::hang, link_fault::down, link_fault::closed};
+    instance_process& instance = random_instance(run);
+    if (instance.cut != link_fault::none || instance.egress_ip.empty()) {
+        return;
+    }
+    const double length = uniform_between(run, 2, 8);
+    ++run.faults["cut from servers"];
+    const auto now = clock::now();
+    run.cuts.push_back(
+        {instance.name, now, now + std::chrono::duration_cast<clock::duration>(seconds(length))});
+    set_cut(run.fleet, instance, cuts.at(run.random() % cuts.size()));
+    schedule_after(run, seconds(length),
+                   [&run, &instance] { set_cut(run.fleet, instance, link_fault::none); });
+}
+
+void inject_server_fault(run_state& run)
+{
+    constexpr std::array behaviors = {server_behavior::shed,
+                                      server_behavior::fail,
+                                      server_behavior::refuse_unproved,
+                                      server_behavior::reset_after_read,
+                                      server_behavior::cut_short,
+                                      server_behavior::extra_answer,
+                                      server_behavior::silent};
+    standins::server_standin& server = *random_server(run).server;
+    ++run.faults["server"];
+    const std::lock_guard lock(server.guard);
+    server.default_behavior = behaviors.at(run.random() % behaviors.size());
+    schedule_after(run, seconds(uniform_between(run, 0.3, 3)), [&server] {
+        const std::lock_guard reset_lock(server.guard);
+        server.default_behavior = server_behavior::serve;
+    });
+}
+
+void inject_change(run_state& run)
+{
+    switch (run.random() % 4) {
+    case 0: {
+        ++run.faults["key withdrawn"];
+        run.revoked.emplace_back(clock::now(), run.fleet.key_number);
+        ++run.fleet.key_number;
+        run.fleet.configuration_version += 1 + static_cast<int>(run.random() % 3);
+        write_configuration(run.fleet);
+        break;
+    }
+    case 1: {
+        server_process& server = random_server(run);
+        if (server.leaving_since == clock::time_point{}) {
+            ++run.faults["server drains"];
+            server.leaving_since = clock::now();
+            register_server(run.fleet, server, "draining");
+            add_server(run.fleet);
+        }
+        break;
+    }
+    case 2:
+        ++run.faults["history forgotten"];
+        standins::forget_history(*run.fleet.store);
+        break;
+    default: {
+        ++run.faults["malformed row"];
+        standins::put_server(*run.fleet.store, "i-odd-" + std::to_string(run.random() % 5),
+                             "{\"service\":7}");
+        break;
+    }
+    }
+}
+
+} // namespace
+
+void schedule_faults(run_state& run, double fault_seconds)
+{
+    const auto count = static_cast<int>(fault_seconds * 1.5);
+    for (int index = 0; index < count; ++index) {
+        const auto kind = run.random() % 7;
+        schedule_after(run, seconds(uniform_between(run, 3, fault_seconds)), [&run, kind] {
+            switch (kind) {
+            case 0:
+                inject_process_fault(run);
+                break;
+            case 1:
+                inject_store_fault(run);
+                break;
+            case 2:
+                inject_store_link_fault(run);
+                break;
+            case 3:
+                inject_link_fault(run, *random_server(run).link, "server link");
+                break;
+            case 4:
+                inject_server_fault(run);
+                break;
+            case 5:
+                inject_cut(run);
+                break;
+            default:
+                inject_change(run);
+            }
+        });
+    }
+    if (run.random() % 2 == 0) {
+        ++run.faults["fatal request"];
+        schedule_after(run, seconds(uniform_between(run, 3, fault_seconds)),
+                       [&run] { start_fatal_caller(run.fleet, run.callers, run.random()); });
+    }
+}
+
+} // namespace soak
