soak: requests that come while an instance is not in touch are left out of its cut, not the whole cut

The rule asks whether the instance is in touch at the request. Requests are left out, at the cut instance and at the others, while their instance was disturbed or without the store; a cut is judged if what remains could break the rule.

--- a/tools/soak/checks.cpp
+++ b/tools/soak/checks.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <span>
 
 namespace soak {
 namespace {
@@ -98,44 +99,56 @@
     }
 }
 
+bool is_at(std::span<const run_state::instance_interval> intervals, const std::string& instance,
+           clock::time_point from, clock::time_point to)
+{
+    return std::ranges::any_of(intervals, [&](const run_state::instance_interval& interval) {
+        return interval.instance == instance && interval.from <= to && interval.to > from;
+    });
+}
+
+// Whether the instance was running undisturbed and had reached the store for a while.
+bool is_in_touch(const run_state& run, const request_result& result)
+{
+    return !is_at(run.disturbed, result.instance, result.sent, result.ended) &&
+           !is_at(run.without_store, result.instance, result.sent, result.ended);
+}
+
+struct tally {
+    double asked = 0;
+    double served = 0;
+};
+
 // An instance that is cut off from all servers serves its callers, by way of the others.
 void check_cuts(run_state& run)
 {
     constexpr double min_ratio = 2.0 / 3;
     constexpr double max_failed = 10;
     constexpr double max_failed_share = 0.02;
-    const auto is_at = [](const auto& intervals, const std::string& instance, auto from, auto to) {
-        return std::ranges::any_of(intervals, [&](const run_state::instance_interval& interval) {
-            return interval.instance == instance && interval.from < to && interval.to > from;
-        });
-    };
     for (const run_state::instance_interval& cut : run.cuts) {
-        const auto from = cut.from + spread_time;
-        if (from >= cut.to || is_at(run.disturbed, cut.instance, cut.from, cut.to) ||
-            is_at(run.without_store, cut.instance, cut.from, cut.to)) {
-            continue;
-        }
-        ++run.faults["cut judged"];
-        std::array<double, 2> asked{};
-        std::array<double, 2> served{};
+        tally at_cut;
+        tally elsewhere;
         for (const request_result& result : run.callers.results) {
+            const bool is_in_time = result.sent >= cut.from + spread_time && result.sent < cut.to;
+            if (!is_in_time || !result.connected || result.status == 429 || !is_in_touch(run, result)) {
+                continue;
+            }
             const bool is_cut = is_at(run.cuts, result.instance, result.sent, result.sent);
-            const bool is_disturbed = is_at(run.disturbed, result.instance, result.sent, result.ended);
-            const bool counts = result.connected && result.status != 429 && result.sent >= from &&
-                                result.sent < cut.to && !is_disturbed &&
-                                (!is_cut || result.instance == cut.instance);
-            if (counts) {
-                asked.at(is_cut ? 0 : 1) += 1;
-                served.at(is_cut ? 0 : 1) += result.status / 100 == 2 ? 1 : 0;
+            if (!is_cut || result.instance == cut.instance) {
+                tally& counted = is_cut ? at_cut : elsewhere;
+                ++counted.asked;
+                counted.served += result.status / 100 == 2 ? 1 : 0;
             }
         }
-        const double failed = asked[0] - served[0];
-        const bool is_worse = served[0] * asked[1] < min_ratio * served[1] * asked[0];
-        if (is_worse && failed > max_failed + max_failed_share * (asked[0] + asked[1])) {
+        const double failed = at_cut.asked - at_cut.served;
+        const double allowed = max_failed + max_failed_share * (at_cut.asked + elsewhere.asked);
+        run.faults["cut judged"] += at_cut.asked > allowed ? 1 : 0;
+        const bool is_worse = at_cut.served * elsewhere.asked < min_ratio * elsewhere.served * at_cut.asked;
+        if (is_worse && failed > allowed) {
             report_violation(run, "cut instance",
-                             cut.instance + " served " + std::to_string(served[0]) + " of " +
-                                 std::to_string(asked[0]) + ", the others " + std::to_string(served[1]) +
-                                 " of " + std::to_string(asked[1]));
+                             cut.instance + " served " + std::to_string(at_cut.served) + " of " +
+                                 std::to_string(at_cut.asked) + ", the others " +
+                                 std::to_string(elsewhere.served) + " of " + std::to_string(elsewhere.asked));
         }
     }
 }
