--- a/packages/edge/tests/edge_crash_test.cpp
+++ b/packages/edge/tests/edge_crash_test.cpp
@@ -249,8 +249,10 @@
     }
     std::atomic<bool> running{true};
     std::atomic<int> condemned{0};
+    constexpr int caller_count = 12;
     std::vector<std::thread> callers;
-    for (int number = 0; number < 12; ++number) {
+    callers.reserve(caller_count);
+    for (int number = 0; number < caller_count; ++number) {
         callers.emplace_back([&, number] {
             for (int round = 0; running; ++round) {
                 caller connection(fixture.all_settings.at(static_cast<std::size_t>(number) % 2).front.port);
