edge tests: copies of a request that end their targets at once are sent again seconds later

Cause, read in the code: ends of runs of which none was sent after the end of another count as one, so that it takes three bursts until a verdict.

--- a/packages/edge/tests/edge_crash_test.cpp
+++ b/packages/edge/tests/edge_crash_test.cpp
@@ -23,7 +23,9 @@
 
 /// A fleet whose servers end at each request with a marker and start again, as a new incarnation.
 struct crash_fixture : fleet_fixture {
-    crash_fixture(int server_count, int instance_count) : fleet_fixture(server_count, instance_count)
+    crash_fixture(int server_count, int instance_count,
+                  const std::vector<std::string>& target_domains = {"rvk-a"})
+        : fleet_fixture(server_count, instance_count, target_domains)
     {
         for (auto& server : servers) {
             server->on_restart = [this, running = server.get()] {
@@ -86,6 +88,23 @@
             std::this_thread::sleep_for(period);
         }
     }
+
+    /// Sends copies of the request at the same time, two at each instance.
+    void send_copies(const caller_request& request)
+    {
+        std::vector<std::thread> callers;
+        callers.reserve(2 * all_settings.size());
+        for (std::size_t number = 0; number < 2 * all_settings.size(); ++number) {
+            callers.emplace_back([&, number] {
+                caller_request copy = request;
+                copy.set("Attempt-Id", std::string(request["Attempt-Id"]) + std::to_string(number));
+                caller(all_settings.at(number / 2).front.port).ask(copy);
+            });
+        }
+        for (std::thread& thread : callers) {
+            thread.join();
+        }
+    }
 };
 
 } // namespace
@@ -122,6 +141,18 @@
     CHECK(served > asked * 9 / 10);
 }
 
+TEST_CASE("edge crash: copies of a request that end many targets at once are not sent again seconds later")
+{
+    crash_fixture fixture(12, 4, {"rvk-a", "rvk-b"});
+    constexpr auto period = spread_time + 500ms;
+    for (const std::string burst : {"a", "b", "c"}) {
+        fixture.send_copies(make_request(http::verb::post, "/seal/1", burst, "fatal"));
+        std::this_thread::sleep_for(period);
+    }
+    CHECK(fixture.arrivals_of("fatal").size() >= 3);
+    CHECK(fixture.later_sends_of("fatal") <= max_later_sends);
+}
+
 TEST_CASE("edge crash: the refusal of a condemned request is at once, true, and names a time")
 {
     crash_fixture fixture(6, 1);
--- a/packages/edge/tests/edge_fixture.hpp
+++ b/packages/edge/tests/edge_fixture.hpp
@@ -115,6 +115,8 @@
 struct edge_fixture {
     standins::store_standin_handle store = standins::start_store(local_ip(), 0);
     std::vector<standins::server_standin_handle> servers;
+    /// Failure domains of the servers, to which they belong in turn.
+    std::vector<std::string> server_domains = {"rvk-a"};
     camphorknot::edge::edge_settings settings;
     camphorknot::edge::instance_handle running;
 
@@ -176,8 +178,10 @@
     void register_server(const std::string& id, std::uint16_t port, const std::string& state,
                          std::int64_t born_ms)
     {
+        const auto number = static_cast<std::size_t>(std::stoi(id.substr(id.find('-') + 1)));
+        const std::string& domain = server_domains.at(number % server_domains.size());
         standins::put_row(*store, "servers", id,
-                          standins::server_row("desk", local_ip() + ":" + std::to_string(port), "rvk-a", "v1",
+                          standins::server_row("desk", local_ip() + ":" + std::to_string(port), domain, "v1",
                                                state, 0, born_ms));
     }
 
--- a/packages/edge/tests/fleet_fixture.hpp
+++ b/packages/edge/tests/fleet_fixture.hpp
@@ -13,8 +13,11 @@
     /// Failure domains, to which the instances belong in turn; the part before the dash is the region.
     std::vector<std::string> domains = {"rvk-a", "rvk-b"};
 
-    fleet_fixture(int server_count, int instance_count) : edge_fixture(0)
+    fleet_fixture(int server_count, int instance_count,
+                  const std::vector<std::string>& target_domains = {"rvk-a"})
+        : edge_fixture(0)
     {
+        server_domains = target_domains;
         for (int number = 1; number <= server_count; ++number) {
             add_server("i-" + std::to_string(number));
         }
