steering: while nothing of a version is answered, ends condemn no request

Callers saw: while all targets of a service ended again and again by themselves, a popular request was refused for minutes as request_condemned, although it was the cause of none.

Cause: a version counted as working for 60 s after its last answer. Within that time the request that runs at most of the ends is condemned after three batches, since no answer can clear it.

Change: a run that counts carries the last answer of the version that its reporter had seen. If targets ended without the request too and nothing was answered since the run before, it does not count. Ends seen while no other target could be reached make later ones say nothing until an answer. Requests that come alone, without other traffic, are condemned as before.

The new decision test fails without the rule.

--- a/packages/decision/include/camphorknot/steering/crash_verdicts.hpp
+++ b/packages/decision/include/camphorknot/steering/crash_verdicts.hpp
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -37,6 +38,9 @@
     std::int64_t born_ms = 0; ///< As in target::born_ms.
     time_point sent_at{};
     time_point ended_at{};
+    /// Last answer of the version that the instance which noticed the end had seen by then; none if an
+    /// earlier version reported the end.
+    std::optional<time_point> version_answered_at{};
 };
 
 /// A request that was running when targets ended.
@@ -76,11 +80,14 @@
 
 /// A suspect in a message between instances, with ages instead of times.
 struct crash_report {
+    static constexpr duration unknown_age = duration::max();
+
     struct run {
         std::string target{};
         std::int64_t born_ms = 0;
         duration sent_age{};
         duration ended_age{};
+        duration version_answered_age = unknown_age;
     };
     suspect_key key{};
     bool cleared = false;
--- a/packages/decision/src/steering/crash_verdicts.cpp
+++ b/packages/decision/src/steering/crash_verdicts.cpp
@@ -48,20 +48,46 @@
     std::set<target_incarnation> explained; // By requests that are condemned already.
 };
 
+struct end_count {
+    std::size_t all = 0;
+    std::size_t own = 0; // The suspect was running there.
+};
+
+// The ends from `first` to `last` that no verdict explains.
+end_count count_ends(const end_context& context, const crash_suspect& suspect, time_point first,
+                     time_point last)
+{
+    end_count count;
+    const auto end = context.ends.upper_bound(last);
+    for (auto position = context.ends.lower_bound(first); position != end; ++position) {
+        if (!context.explained.contains(position->second)) {
+            ++count.all;
+            count.own += has_run(suspect, position->second) ? 1 : 0;
+        }
+    }
+    return count;
+}
+
 // Whether targets ended together at most of which the request was not running.
 bool is_in_foreign_batch(const crash_tuning& tuning, const end_context& context, const crash_suspect& suspect,
                          const ended_run& run)
 {
-    std::size_t count = 0;
-    std::size_t own_count = 0;
-    const auto first = context.ends.lower_bound(run.ended_at - tuning.batch_window);
-    const auto last = context.ends.upper_bound(run.ended_at + tuning.batch_window);
-    for (auto position = first; position != last; ++position) {
-        const target_incarnation& target = position->second;
-        count += context.explained.contains(target) ? 0 : 1;
-        own_count += has_run(suspect, target) ? 1 : 0;
+    const end_count count =
+        count_ends(context, suspect, run.ended_at - tuning.batch_window, run.ended_at + tuning.batch_window);
+    return count.all >= tuning.min_batch && 2 * count.own < count.all;
+}
+
+// Whether targets ended without the request as well, and none answered anything, between two of its runs.
+// Then the second says nothing.
+bool is_in_outage(const crash_tuning& tuning, const end_context& context, const crash_suspect& suspect,
+                  const ended_run& before, const ended_run& run)
+{
+    if (!run.version_answered_at || *run.version_answered_at > before.ended_at) {
+        return false;
     }
-    return count >= tuning.min_batch && 2 * own_count < count;
+    const end_count count = count_ends(context, suspect, before.ended_at - tuning.batch_window,
+                                       run.ended_at + tuning.batch_window);
+    return count.own < count.all;
 }
 
 // Runs of which each was sent after the end of the one before. Copies of a request that ran at the same time
@@ -71,7 +97,9 @@
 {
     std::vector<const ended_run*> consecutive;
     for (const ended_run& run : suspect.runs) {
-        const bool follows = consecutive.empty() || run.sent_at >= consecutive.back()->ended_at;
+        const bool follows =
+            consecutive.empty() || (run.sent_at >= consecutive.back()->ended_at &&
+                                    !is_in_outage(tuning, context, suspect, *consecutive.back(), run));
         if (follows && !context.explained.contains(incarnation_of(run)) &&
             !is_in_foreign_batch(tuning, context, suspect, run)) {
             consecutive.push_back(&run);
@@ -212,6 +240,7 @@
     if (stored != suspect.runs.end()) {
         stored->sent_at = std::min(stored->sent_at, run.sent_at);
         stored->ended_at = std::min(stored->ended_at, run.ended_at);
+        stored->version_answered_at = std::max(stored->version_answered_at, run.version_answered_at);
         return false;
     }
     if (suspect.runs.size() >= tuning.max_runs) {
@@ -224,14 +253,22 @@
 
 ended_run to_run(const crash_report::run& reported, time_point now)
 {
-    return {reported.target, reported.born_ms, now - reported.sent_age, now - reported.ended_age};
+    ended_run run = {reported.target, reported.born_ms, now - reported.sent_age, now - reported.ended_age};
+    if (reported.version_answered_age != crash_report::unknown_age) {
+        run.version_answered_at = now - reported.version_answered_age;
+    }
+    return run;
 }
 
 crash_report to_report(const suspect_entry& entry, time_point now)
 {
     crash_report report{entry.first, entry.second.cleared, now - entry.second.last_seen, {}};
     for (const ended_run& run : entry.second.runs) {
-        report.runs.push_back({run.target, run.born_ms, now - run.sent_at, now - run.ended_at});
+        crash_report::run& reported = report.runs.emplace_back();
+        reported = {run.target, run.born_ms, now - run.sent_at, now - run.ended_at};
+        if (run.version_answered_at) {
+            reported.version_answered_age = now - *run.version_answered_at;
+        }
     }
     return report;
 }
--- a/packages/decision/tests/steering_crash_verdicts_test.cpp
+++ b/packages/decision/tests/steering_crash_verdicts_test.cpp
@@ -93,6 +93,43 @@
     CHECK(is_condemned(table, key_of(1), 8s));
 }
 
+TEST_CASE("crash verdicts: while targets also end without it and none answers, a request is not the cause")
+{
+    // Request 1 is at three targets of each batch, others are at the fourth.
+    const auto end_batches = [](crash_table& table, duration answered_before) {
+        for (int round = 0; round < 4; ++round) {
+            const duration sent = std::chrono::seconds(round);
+            for (std::uint64_t place = 1; place <= 4; ++place) {
+                const std::string target = "t" + std::to_string(round) + "-" + std::to_string(place);
+                ended_run run = run_at(target, sent, sent + 500ms);
+                run.version_answered_at =
+                    start + (answered_before > 0s ? sent + 500ms - answered_before : 0s);
+                const std::uint64_t request = place < 4 ? 1 : 10 + static_cast<std::uint64_t>(round);
+                on_run_ended(table, key_of(request), run, run.ended_at);
+            }
+        }
+    };
+    crash_table outage;
+    end_batches(outage, 0s);
+    CHECK_FALSE(is_condemned(outage, key_of(1), 4s));
+    crash_table copy;
+    on_crash_reports_received(copy, all_reports(outage, 4s), start + 4s);
+    CHECK_FALSE(is_condemned(copy, key_of(1), 4s));
+    // The others are answered between the batches.
+    crash_table working;
+    end_batches(working, 100ms);
+    CHECK(is_condemned(working, key_of(1), 4s));
+    // Nothing else runs, so that only its own ends are seen.
+    crash_table alone;
+    for (int round = 0; round < 3; ++round) {
+        const duration sent = std::chrono::seconds(round);
+        ended_run run = run_at("t" + std::to_string(round), sent, sent + 500ms);
+        run.version_answered_at = start;
+        on_run_ended(alone, key_of(1), run, run.ended_at);
+    }
+    CHECK(is_condemned(alone, key_of(1), 3s));
+}
+
 TEST_CASE("crash verdicts: copies of a request that end many targets together do not hide it")
 {
     crash_table table;
--- a/packages/edge/src/peer_codec.cpp
+++ b/packages/edge/src/peer_codec.cpp
@@ -67,7 +67,7 @@
 }
 auto peer_fields(const_or_mutable<crash_report::run> auto& value)
 {
-    return std::tie(value.target, value.born_ms, value.sent_age, value.ended_age);
+    return std::tie(value.target, value.born_ms, value.sent_age, value.ended_age, value.version_answered_age);
 }
 auto peer_fields(const_or_mutable<crash_report> auto& value)
 {
@@ -99,6 +99,8 @@
 template <>
 constexpr std::size_t required_fields<load_report> = 4;
 template <>
+constexpr std::size_t required_fields<crash_report::run> = 4;
+template <>
 constexpr std::size_t required_fields<version_counts> = 5;
 template <>
 constexpr std::size_t required_fields<instance_status> = 7;
--- a/packages/edge/src/relay_crashes.cpp
+++ b/packages/edge/src/relay_crashes.cpp
@@ -15,8 +15,7 @@
 constexpr duration probe_timeout = std::chrono::milliseconds(500);
 // Targets that are tried to find out whether this instance reaches any.
 constexpr std::size_t max_reference_targets = 4;
-// An end counts only if another request was answered by a target of the same version within this time. A
-// version that answers nothing is itself at fault.
+// An end counts only if a target of the same version has answered a request within this time.
 constexpr duration version_answer_age = std::chrono::seconds(60);
 // A longer time between ticks means that the process was suspended.
 constexpr duration suspension_gap = std::chrono::seconds(1);
@@ -71,8 +70,10 @@
     const steering::suspect_key key = {
         compute_identity(request.message, request.metadata.host, lost.customer), target.service,
         target.version};
-    const bool is_news = steering::on_run_ended(state.crashes.table, key,
-                                                {target.id, target.born_ms, lost.sent_at, lost.lost_at}, now);
+    const steering::version_history& version = state.crashes.versions[{target.service, target.version}];
+    const steering::ended_run run = {target.id, target.born_ms, lost.sent_at, lost.lost_at,
+                                     version.answered_at};
+    const bool is_news = steering::on_run_ended(state.crashes.table, key, run, now);
     if (is_news) {
         log_event_limited(state.log, log_severity::warning, "target_ended_under_request",
                           {{"request", request.metadata.attempt},
@@ -121,23 +122,24 @@
     co_return false;
 }
 
-bool has_version_answered(const traffic_state& state, const steering::target& target, time_point now)
-{
-    const auto answered = state.crashes.version_answers.find({target.service, target.version});
-    return answered != state.crashes.version_answers.end() && now - answered->second < version_answer_age;
-}
-
 // Finds out whether the target has ended: it refuses connections, while this instance reaches another target.
 asio::awaitable<void> inquire(traffic_state& state, steering::target target, time_point lost_at)
 {
     const connect_outcome outcome = co_await open_idle_connection(state.connections, target, probe_timeout);
-    bool has_ended = outcome == connect_outcome::refused;
+    const bool has_ended = outcome == connect_outcome::refused;
+    bool others_reachable = false;
     if (has_ended) {
-        has_ended = co_await reaches_another(state, target, lost_at);
+        others_reachable = co_await reaches_another(state, target, lost_at);
     }
     const std::vector<lost_run> runs = std::move(state.crashes.inquiries[target.id]);
     state.crashes.inquiries.erase(target.id);
-    if (!has_ended || !has_version_answered(state, target, boot_now())) {
+    if (!has_ended) {
+        co_return;
+    }
+    const time_point now = boot_now();
+    steering::version_history& version = state.crashes.versions[{target.service, target.version}];
+    steering::on_target_ended(version, others_reachable, now);
+    if (!others_reachable || !steering::may_blame_requests(version, version_answer_age, now)) {
         co_return;
     }
     for (const lost_run& run : runs) {
@@ -159,7 +161,7 @@
 void on_answered(traffic_state& state, const caller_request& request, request_plan& plan,
                  const steering::target& target, time_point now)
 {
-    state.crashes.version_answers[{target.service, target.version}] = now;
+    steering::on_version_answered(state.crashes.versions[{target.service, target.version}], now);
     state.crashes.last_answer_target = target.id;
     state.crashes.last_answered_at = now;
     const auto& identity = find_identity(state, request, plan);
