steering: one batch of ends in several failure domains condemns the request that was at all of them

Callers of a crashed service saw: a request that comes to all instances at the same time, every few seconds, ended targets with each burst until the third.

Cause: runs count only if each was sent after the end of the one before, since a group of targets may lose power together. Copies that run at the same time count as one, and the verdict takes three bursts.

Change: if at least three targets of more than one failure domain end within 300 ms, the request was running at all that ended at that time, and no other request was, the batch condemns it. The verdict begins 1.2 s later: an answer, or evidence of another end, takes it back first. The evidence carries the failure domains of the targets; the log line has in_ms.

Not covered: copies at once at targets of one failure domain count as one end, as a power loss there would look the same.

--- a/packages/decision/include/camphorknot/steering/crash_verdicts.hpp
+++ b/packages/decision/include/camphorknot/steering/crash_verdicts.hpp
@@ -41,6 +41,7 @@
     /// Last answer of the version that the instance which noticed the end had seen by then; none if an
     /// earlier version reported the end.
     std::optional<time_point> version_answered_at{};
+    std::string failure_domain{}; ///< Of the target; empty if an earlier version reported the end.
 };
 
 /// A request that was running when targets ended.
@@ -49,7 +50,8 @@
     bool cleared = false;          ///< A target has answered the request.
     time_point last_seen{};        ///< Last end of a run or refusal.
     time_point changed_at{};       ///< Last change of `runs` or `cleared` at this instance.
-    time_point condemned_until{};  ///< Derived from the runs of all suspects.
+    time_point condemned_from{};   ///< Derived from the runs of all suspects, as `condemned_until`.
+    time_point condemned_until{};
 };
 
 /// Limits of the evidence, and when it suffices.
@@ -60,6 +62,11 @@
     /// many and a request was running at less than half of them, their ends say nothing about the request.
     duration batch_window = std::chrono::milliseconds(300);
     std::size_t min_batch = 4;
+    /// Targets of different failure domains that end together rarely have another common cause than the
+    /// request that was running at all of them. From this number on they condemn it, after a delay in which
+    /// an answer, or evidence of other ends, can still arrive.
+    std::size_t min_sole_batch = 3;
+    duration sole_batch_delay = std::chrono::milliseconds(1200);
     /// Length of the first verdict. Each further run multiplies it, up to the maximum: a request that comes
     /// again all day reaches few targets, and a wrong verdict does not last.
     duration first_verdict = std::chrono::minutes(2);
@@ -88,6 +95,7 @@
         duration sent_age{};
         duration ended_age{};
         duration version_answered_age = unknown_age;
+        std::string failure_domain{};
     };
     suspect_key key{};
     bool cleared = false;
--- a/packages/decision/src/steering/crash_verdicts.cpp
+++ b/packages/decision/src/steering/crash_verdicts.cpp
@@ -90,22 +90,63 @@
     return count.own < count.all;
 }
 
-// Runs of which each was sent after the end of the one before. Copies of a request that ran at the same time
-// say no more than one: a group of targets may have ended together.
-std::vector<const ended_run*> consecutive_runs(const crash_tuning& tuning, const crash_suspect& suspect,
-                                               const end_context& context)
+// The runs that ended together with `first` or shortly after it, if these are enough in several failure
+// domains and the request was running at all targets that ended at that time; else none.
+std::vector<const ended_run*> find_sole_batch(const crash_tuning& tuning, const end_context& context,
+                                              const crash_suspect& suspect, const ended_run& first)
 {
-    std::vector<const ended_run*> consecutive;
+    const time_point end = first.ended_at + tuning.batch_window;
+    std::vector<const ended_run*> batch;
+    std::set<std::string_view> domains;
+    for (const ended_run& run : suspect.runs) {
+        const bool is_in_window = run.ended_at >= first.ended_at && run.ended_at <= end;
+        if (is_in_window && !context.explained.contains(incarnation_of(run))) {
+            batch.push_back(&run);
+            domains.insert(run.failure_domain);
+        }
+    }
+    const end_count count = count_ends(context, suspect, first.ended_at - tuning.batch_window, end);
+    const bool is_sole = count.own == count.all;
+    return is_sole && batch.size() >= tuning.min_sole_batch && domains.size() > 1
+               ? batch
+               : std::vector<const ended_run*>();
+}
+
+// What the ends of targets say against a request.
+struct case_against {
+    std::vector<const ended_run*> runs; // That count, by the time of their ends.
+    std::size_t strength = 0;           // Number of ends, of which each counts as an independent one.
+    time_point valid_from{};
+};
+
+// Counts runs of which each was sent after the end of the one before. Copies of a request that ran at the
+// same time say no more than one, as a group of targets may have ended together, unless they are a sole
+// batch.
+case_against collect_case(const crash_tuning& tuning, const crash_suspect& suspect,
+                          const end_context& context)
+{
+    case_against result;
     for (const ended_run& run : suspect.runs) {
         const bool follows =
-            consecutive.empty() || (run.sent_at >= consecutive.back()->ended_at &&
-                                    !is_in_outage(tuning, context, suspect, *consecutive.back(), run));
-        if (follows && !context.explained.contains(incarnation_of(run)) &&
-            !is_in_foreign_batch(tuning, context, suspect, run)) {
-            consecutive.push_back(&run);
+            result.runs.empty() || (run.sent_at >= result.runs.back()->ended_at &&
+                                    !is_in_outage(tuning, context, suspect, *result.runs.back(), run));
+        if (!follows || context.explained.contains(incarnation_of(run)) ||
+            is_in_foreign_batch(tuning, context, suspect, run)) {
+            continue;
+        }
+        ++result.strength;
+        const std::vector<const ended_run*> batch = find_sole_batch(tuning, context, suspect, run);
+        if (batch.empty()) {
+            result.runs.push_back(&run);
+            continue;
+        }
+        result.runs.insert(result.runs.end(), batch.begin(), batch.end());
+        if (result.strength < tuning.runs_to_condemn) {
+            result.strength = tuning.runs_to_condemn;
+            result.valid_from = batch.back()->ended_at + tuning.sole_batch_delay;
         }
     }
-    return consecutive;
+    return result;
 }
 
 // Whether another request was running at all of these ends as well, so that either may be the cause.
@@ -156,11 +197,10 @@
     return std::min(length, tuning.max_verdict);
 }
 
-// The suspect with the most consecutive runs among those whose evidence suffices, with these runs.
-std::pair<suspect_entry*, std::vector<const ended_run*>> find_next_verdict(crash_table& table,
-                                                                           const end_context& context)
+// The suspect with the most runs that count among those whose evidence suffices, with the case against it.
+std::pair<suspect_entry*, case_against> find_next_verdict(crash_table& table, const end_context& context)
 {
-    std::pair<suspect_entry*, std::vector<const ended_run*>> next = {nullptr, {}};
+    std::pair<suspect_entry*, case_against> next = {nullptr, {}};
     for (suspect_entry& entry : table.suspects) {
         if (entry.second.cleared || entry.second.condemned_until != time_point{}) {
             continue;
@@ -169,10 +209,10 @@
         if (entry.second.runs.size() < needed) {
             continue;
         }
-        std::vector<const ended_run*> runs = consecutive_runs(table.tuning, entry.second, context);
-        if (runs.size() >= needed && runs.size() > next.second.size() &&
-            !has_rival(table, entry.first, runs)) {
-            next = {&entry, std::move(runs)};
+        case_against found = collect_case(table.tuning, entry.second, context);
+        if (found.strength >= needed && found.runs.size() > next.second.runs.size() &&
+            !has_rival(table, entry.first, found.runs)) {
+            next = {&entry, std::move(found)};
         }
     }
     return next;
@@ -182,16 +222,20 @@
 void update_verdicts(crash_table& table)
 {
     for (auto& [key, suspect] : table.suspects) {
+        suspect.condemned_from = time_point{};
         suspect.condemned_until = time_point{};
     }
     end_context context{collect_ends(table), {}};
     while (true) {
-        const auto [entry, runs] = find_next_verdict(table, context);
+        const auto [entry, found] = find_next_verdict(table, context);
         if (entry == nullptr) {
             return;
         }
-        const std::size_t further_runs = runs.size() - std::min(runs.size(), table.tuning.runs_to_condemn);
-        entry->second.condemned_until = runs.back()->ended_at + verdict_length(table.tuning, further_runs);
+        const std::size_t further_runs =
+            found.strength - std::min(found.strength, table.tuning.runs_to_condemn);
+        entry->second.condemned_from = found.valid_from;
+        entry->second.condemned_until =
+            found.runs.back()->ended_at + verdict_length(table.tuning, further_runs);
         for (const ended_run& run : entry->second.runs) {
             context.explained.insert(incarnation_of(run));
         }
@@ -254,6 +298,7 @@
 ended_run to_run(const crash_report::run& reported, time_point now)
 {
     ended_run run = {reported.target, reported.born_ms, now - reported.sent_age, now - reported.ended_age};
+    run.failure_domain = reported.failure_domain;
     if (reported.version_answered_age != crash_report::unknown_age) {
         run.version_answered_at = now - reported.version_answered_age;
     }
@@ -266,6 +311,7 @@
     for (const ended_run& run : entry.second.runs) {
         crash_report::run& reported = report.runs.emplace_back();
         reported = {run.target, run.born_ms, now - run.sent_at, now - run.ended_at};
+        reported.failure_domain = run.failure_domain;
         if (run.version_answered_at) {
             reported.version_answered_age = now - *run.version_answered_at;
         }
@@ -351,7 +397,8 @@
     if (found == table.suspects.end() || found->second.cleared) {
         return crash_standing::unknown;
     }
-    return now < found->second.condemned_until ? crash_standing::condemned : crash_standing::suspected;
+    const bool is_condemned = now >= found->second.condemned_from && now < found->second.condemned_until;
+    return is_condemned ? crash_standing::condemned : crash_standing::suspected;
 }
 
 bool is_suspected(const crash_table& table, const request_identity& request, std::string_view service)
--- a/packages/decision/tests/steering_crash_verdicts_test.cpp
+++ b/packages/decision/tests/steering_crash_verdicts_test.cpp
@@ -69,6 +69,68 @@
     CHECK(is_condemned(table, key_of(1), 1s));
 }
 
+namespace {
+
+// Copies of the request run at three targets, two of them in the same failure domain, and all end together.
+void end_batch(crash_table& table, const suspect_key& key, duration sent, const std::string& prefix,
+               const std::string& other_domain = "rvk-b")
+{
+    int number = 0;
+    for (const std::string& domain : {std::string("rvk-a"), std::string("rvk-a"), other_domain}) {
+        const duration ended = sent + 500ms + 50ms * number;
+        ended_run run = run_at(prefix + std::to_string(++number), sent, ended);
+        run.failure_domain = domain;
+        on_run_ended(table, key, run, start + ended);
+    }
+}
+
+} // namespace
+
+TEST_CASE("crash verdicts: copies of a request that end all targets of one batch condemn it, after a delay")
+{
+    crash_table table;
+    end_batch(table, key_of(1), 0s, "a");
+    on_run_ended(table, key_of(2), run_at("a1", 0ms, 500ms), start + 500ms);
+    const duration valid_from = 600ms + table.tuning.sole_batch_delay;
+    CHECK_FALSE(is_condemned(table, key_of(1), valid_from - 1ms));
+    CHECK(is_condemned(table, key_of(1), valid_from));
+    CHECK_FALSE(is_condemned(table, key_of(2), valid_from));
+    // The failure domains are known where the evidence arrives from elsewhere.
+    crash_table other;
+    on_crash_reports_received(other, all_reports(table, 1s), start + 1s);
+    CHECK(is_condemned(other, key_of(1), valid_from));
+    CHECK(is_condemned(table, key_of(1), 600ms + 119s));
+    CHECK_FALSE(is_condemned(table, key_of(1), 600ms + 121s));
+    // The next verdict is longer.
+    on_run_ended(table, key_of(1), run_at("b", 130s, 131s), start + 131s);
+    CHECK(is_condemned(table, key_of(1), 131s + 19min));
+}
+
+TEST_CASE("crash verdicts: a batch condemns no request that is not its only cause")
+{
+    const duration later = 3s;
+    crash_table one_domain;
+    end_batch(one_domain, key_of(1), 0s, "a", "rvk-a");
+    CHECK_FALSE(is_condemned(one_domain, key_of(1), later));
+    crash_table answered;
+    end_batch(answered, key_of(1), 0s, "a");
+    on_suspect_answered(answered, key_of(1), start + 1s);
+    CHECK_FALSE(is_condemned(answered, key_of(1), later));
+    // Another target ended at that time, which is known later.
+    crash_table foreign;
+    end_batch(foreign, key_of(1), 0s, "a");
+    on_run_ended(foreign, key_of(2), run_at("f", 0ms, 400ms), start + 1500ms);
+    CHECK_FALSE(is_condemned(foreign, key_of(1), later));
+    // Another request was running at all of the targets.
+    crash_table rival;
+    end_batch(rival, key_of(1), 0s, "a");
+    end_batch(rival, key_of(2), 0s, "a");
+    CHECK_FALSE(is_condemned(rival, key_of(1), later));
+    CHECK_FALSE(is_condemned(rival, key_of(2), later));
+    on_suspect_answered(rival, key_of(2), start + 1s);
+    CHECK(is_condemned(rival, key_of(1), later));
+}
+
 TEST_CASE("crash verdicts: a request at one of several targets that end together, again and again, is not "
           "the cause")
 {
--- a/packages/edge/src/peer_codec.cpp
+++ b/packages/edge/src/peer_codec.cpp
@@ -67,7 +67,8 @@
 }
 auto peer_fields(const_or_mutable<crash_report::run> auto& value)
 {
-    return std::tie(value.target, value.born_ms, value.sent_age, value.ended_age, value.version_answered_age);
+    return std::tie(value.target, value.born_ms, value.sent_age, value.ended_age, value.version_answered_age,
+                    value.failure_domain);
 }
 auto peer_fields(const_or_mutable<crash_report> auto& value)
 {
--- a/packages/edge/src/relay_crashes.cpp
+++ b/packages/edge/src/relay_crashes.cpp
@@ -47,12 +47,13 @@
 
 void log_verdict(traffic_state& state, const steering::suspect_key& key, time_point now)
 {
-    if (steering::standing_of(state.crashes.table, key, now) != steering::crash_standing::condemned) {
+    const auto suspect = state.crashes.table.suspects.find(key);
+    if (suspect == state.crashes.table.suspects.end() || suspect->second.condemned_until <= now) {
         return;
     }
     const duration left = steering::condemned_for(state.crashes.table, key.request, key.service, now);
     std::string targets;
-    for (const steering::ended_run& run : state.crashes.table.suspects.at(key).runs) {
+    for (const steering::ended_run& run : suspect->second.runs) {
         targets += (targets.empty() ? "" : ",") + run.target;
     }
     log_event_limited(state.log, log_severity::warning, "request_condemned",
@@ -60,6 +61,7 @@
                        {"service", key.service},
                        {"version", key.version},
                        {"targets", targets},
+                       {"in_ms", to_ms(std::max(duration{}, suspect->second.condemned_from - now))},
                        {"for_ms", to_ms(left)}});
 }
 
@@ -71,8 +73,8 @@
         compute_identity(request.message, request.metadata.host, lost.customer), target.service,
         target.version};
     const steering::version_history& version = state.crashes.versions[{target.service, target.version}];
-    const steering::ended_run run = {target.id, target.born_ms, lost.sent_at, lost.lost_at,
-                                     version.answered_at};
+    const steering::ended_run run = {target.id,    target.born_ms,      lost.sent_at,
+                                     lost.lost_at, version.answered_at, target.failure_domain};
     const bool is_news = steering::on_run_ended(state.crashes.table, key, run, now);
     if (is_news) {
         log_event_limited(state.log, log_severity::warning, "target_ended_under_request",
--- a/packages/edge/tests/edge_crash_test.cpp
+++ b/packages/edge/tests/edge_crash_test.cpp
@@ -271,9 +271,12 @@
     CHECK(is_refused_as_condemned(fixture.ask(make_request(http::verb::get, "/find/fatal", "last"))));
 }
 
-TEST_CASE("edge crash: batches of servers that end by themselves condemn no request")
+namespace {
+
+// All servers end again and again while requests run, half of which are for the same object.
+void check_batches_condemn_nothing(const std::vector<std::string>& target_domains)
 {
-    crash_fixture fixture(6, 2);
+    crash_fixture fixture(6, 2, target_domains);
     for (auto& server : fixture.servers) {
         server->service_ms = 350;
         server->restart_ms = 150;
@@ -308,3 +311,15 @@
     }
     CHECK(condemned == 0);
 }
+
+} // namespace
+
+TEST_CASE("edge crash: batches of servers that end by themselves condemn no request")
+{
+    check_batches_condemn_nothing({"rvk-a"});
+}
+
+TEST_CASE("edge crash: batches of servers of two failure domains that end by themselves condemn no request")
+{
+    check_batches_condemn_nothing({"rvk-a", "rvk-b"});
+}
