--- a/packages/edge/tests/edge_reach_test.cpp
+++ b/packages/edge/tests/edge_reach_test.cpp
@@ -303,3 +303,38 @@
     CHECK(left() == 1);
     CHECK(fixture.runs_of("gone") == 1);
 }
+
+TEST_CASE(
+    "edge reach: after an outage of all targets the callers of a cut instance are served as soon as others")
+{
+    cut_fixture fixture(4, 3, {"rvk-a", "aku-a", "egs-a"});
+    fixture.set_links(0, link_fault::down);
+    ask_for(fixture, 0, false, "n", 1500ms);
+    std::array<tally, 3> before;
+    std::array<tally, 3> after;
+    for (const std::size_t instance : {1, 2}) {
+        fixture.set_links(instance, link_fault::down);
+    }
+    const auto ask_all = [&](std::array<tally, 3>& tallies, const std::string& prefix,
+                             std::chrono::milliseconds time) {
+        std::vector<std::thread> callers;
+        callers.reserve(tallies.size());
+        for (const std::size_t instance : {0, 1, 2}) {
+            callers.emplace_back([&, instance] {
+                tallies.at(instance) =
+                    ask_for(fixture, instance, true, prefix + std::to_string(instance) + "-", time);
+            });
+        }
+        for (std::thread& caller : callers) {
+            caller.join();
+        }
+    };
+    ask_all(before, "b", 2500ms);
+    for (const std::size_t instance : {1, 2}) {
+        fixture.set_links(instance, link_fault::none);
+    }
+    ask_all(after, "a", 2s);
+    INFO(after[0].served << " of " << after[0].asked << ", " << after[1].served << " of " << after[1].asked);
+    CHECK(after[1].served > 5);
+    CHECK(after[0].served * after[1].asked * 3 >= after[1].served * after[0].asked * 2);
+}
