edge, steering: after an outage of all targets a cut instance passes requests on as soon as others serve

Callers of a cut instance saw: after all targets of a service had been down, refusals with targets_unreachable for a second longer than at the others.

Cause: what instances report of their paths is up to a second old, and an instance keeps reporting a loss for its recovery time, half a second and more. As long as all reports say so, nothing was passed on. And an instance that had lost all targets tried them again only after its recovery, although no other instance could serve its requests meanwhile.

Change: if all others report no path, one request in 150 ms is passed on nevertheless, to one at random in the own region; an instance that has served one in the last two seconds counts as reaching the service. An instance tries its targets as soon as a probe succeeds if no other may get the request.

--- a/packages/decision/include/camphorknot/steering/target_reach.hpp
+++ b/packages/decision/include/camphorknot/steering/target_reach.hpp
@@ -24,6 +24,11 @@
     duration min_recovery = std::chrono::milliseconds(500);
     duration max_recovery = std::chrono::seconds(4);
     duration relapse_time = std::chrono::seconds(10);
+    /// What the instances report of their access is up to about a second old. If all report that they do not
+    /// reach a service, one request in this time is passed on nevertheless.
+    duration hop_trial_interval = std::chrono::milliseconds(150);
+    /// How long an instance that served a request counts as reaching the service, whatever it reports.
+    duration hop_validity = std::chrono::milliseconds(2000);
 };
 
 /// Whether this instance reaches any target of one service.
@@ -37,6 +42,9 @@
     time_point regained_at{};                     ///< End of the last loss.
     std::optional<time_point> connecting_since{}; ///< First success since the loss, without a failure since.
     duration recovery{};                          ///< Length of the current recovery.
+    time_point hop_tried_at{};                    ///< Last trial of an instance that reports no access.
+    std::string serving_hop{};                    ///< Name of the instance that served a request last.
+    time_point hop_served_at{};
 };
 
 /// Stores that a connection to a target was opened.
@@ -86,4 +94,14 @@
 const next_hop* select_next_hop(std::span<const next_hop> hops, const next_hop_request& request,
                                 double random_value);
 
+/// Selects an instance although all report that they do not reach the service: the one that served such a
+/// request lately, else any one if a trial is due. Regions hold as for select_next_hop.
+/// @return null if there is none, or no trial is due.
+const next_hop* select_trial_hop(service_reach& reach, const reach_tuning& tuning,
+                                 std::span<const next_hop> hops, const next_hop_request& request,
+                                 double random_value, time_point now);
+
+/// Stores that the instance @p name served a request for the service.
+void on_hop_served(service_reach& reach, std::string_view name, time_point now);
+
 } // namespace camphorknot::steering
--- a/packages/decision/src/steering/target_reach.cpp
+++ b/packages/decision/src/steering/target_reach.cpp
@@ -1,6 +1,7 @@
 #include "camphorknot/steering/target_reach.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace camphorknot::steering {
 namespace {
@@ -15,13 +16,28 @@
     return regions.empty() || contains(regions, region);
 }
 
-bool is_eligible(const next_hop& hop, const next_hop_request& request)
+// Whether the request may be passed on to the instance, if that reaches the service.
+bool is_allowed_hop(const next_hop& hop, const next_hop_request& request)
 {
-    return !hop.relay_address.empty() && !contains(hop.unreachable_services, request.service) &&
-           is_allowed(request.route_regions, hop.region) &&
+    return !hop.relay_address.empty() && is_allowed(request.route_regions, hop.region) &&
            is_allowed(request.customer_regions, hop.region) && !contains(request.tried, hop.name);
 }
 
+// In the own region if there are any, among these at random.
+const next_hop* pick_hop(std::span<const next_hop* const> candidates, std::string_view own_region,
+                         double random_value)
+{
+    std::vector<const next_hop*> near;
+    std::ranges::copy_if(candidates, std::back_inserter(near),
+                         [&](const next_hop* hop) { return hop->region == own_region; });
+    const std::span<const next_hop* const> preferred = near.empty() ? candidates : near;
+    if (preferred.empty()) {
+        return nullptr;
+    }
+    const auto index = static_cast<std::size_t>(random_value * static_cast<double>(preferred.size()));
+    return preferred[std::min(index, preferred.size() - 1)];
+}
+
 } // namespace
 
 void on_target_reached(service_reach& reach, time_point now)
@@ -81,19 +97,40 @@
 const next_hop* select_next_hop(std::span<const next_hop> hops, const next_hop_request& request,
                                 double random_value)
 {
-    std::vector<const next_hop*> near;
-    std::vector<const next_hop*> far;
+    std::vector<const next_hop*> candidates;
     for (const next_hop& hop : hops) {
-        if (is_eligible(hop, request)) {
-            (hop.region == request.own_region ? near : far).push_back(&hop);
+        if (is_allowed_hop(hop, request) && !contains(hop.unreachable_services, request.service)) {
+            candidates.push_back(&hop);
         }
     }
-    const std::vector<const next_hop*>& candidates = near.empty() ? far : near;
-    if (candidates.empty()) {
+    return pick_hop(candidates, request.own_region, random_value);
+}
+
+const next_hop* select_trial_hop(service_reach& reach, const reach_tuning& tuning,
+                                 std::span<const next_hop> hops, const next_hop_request& request,
+                                 double random_value, time_point now)
+{
+    std::vector<const next_hop*> candidates;
+    for (const next_hop& hop : hops) {
+        if (!is_allowed_hop(hop, request)) {
+            continue;
+        }
+        if (hop.name == reach.serving_hop && now - reach.hop_served_at < tuning.hop_validity) {
+            return &hop;
+        }
+        candidates.push_back(&hop);
+    }
+    if (candidates.empty() || now - reach.hop_tried_at < tuning.hop_trial_interval) {
         return nullptr;
     }
-    const auto index = static_cast<std::size_t>(random_value * static_cast<double>(candidates.size()));
-    return candidates.at(std::min(index, candidates.size() - 1));
+    reach.hop_tried_at = now;
+    return pick_hop(candidates, request.own_region, random_value);
+}
+
+void on_hop_served(service_reach& reach, std::string_view name, time_point now)
+{
+    reach.serving_hop = name;
+    reach.hop_served_at = now;
 }
 
 } // namespace camphorknot::steering
--- a/packages/decision/tests/steering_reach_test.cpp
+++ b/packages/decision/tests/steering_reach_test.cpp
@@ -145,6 +145,40 @@
     CHECK(select_next_hop(hops, request, 0) == nullptr);
 }
 
+TEST_CASE("reach: instances that report no access are tried at times, and used once one has served")
+{
+    std::vector<next_hop> hops = {hop("a", "rvk"), hop("b", "rvk"), hop("c", "aku")};
+    for (next_hop& entry : hops) {
+        entry.unreachable_services = {"desk"};
+    }
+    next_hop_request request;
+    request.service = "desk";
+    request.own_region = "rvk";
+    service_reach reach = lost_reach(0s);
+    CHECK(select_next_hop(hops, request, 0) == nullptr);
+    int trials = 0;
+    for (duration now = 2s; now < 4s; now += 10ms) {
+        trials += select_trial_hop(reach, tuning, hops, request, 0.9, start + now) != nullptr ? 1 : 0;
+    }
+    CHECK(trials > 5);
+    CHECK(trials <= 2s / tuning.hop_trial_interval + 1);
+    on_hop_served(reach, "b", start + 4s);
+    for (duration now = 4s; now < 5s; now += 10ms) {
+        const next_hop* chosen = select_trial_hop(reach, tuning, hops, request, 0, start + now);
+        REQUIRE(chosen != nullptr);
+        CHECK(chosen->name == "b");
+    }
+    // Regions hold, also for the one that has served.
+    const std::vector<std::string> home = {"aku"};
+    request.customer_regions = home;
+    const next_hop* chosen = select_trial_hop(reach, tuning, hops, request, 0, start + 5s);
+    REQUIRE(chosen != nullptr);
+    CHECK(chosen->name == "c");
+    const std::vector<std::string> nowhere = {"egs"};
+    request.customer_regions = nowhere;
+    CHECK(select_trial_hop(reach, tuning, hops, request, 0, start + 6s) == nullptr);
+}
+
 TEST_CASE("reach: the requests of a cut instance are spread over the others of its region")
 {
     std::vector<next_hop> hops;
--- a/packages/edge/src/relay.hpp
+++ b/packages/edge/src/relay.hpp
@@ -73,8 +73,9 @@
 platform::http_response make_final_answer(traffic_state& state, const caller_request& request,
                                           const request_plan& plan, const exchange_result& result);
 
-/// @return whether this instance reaches no target of the service.
-bool is_unreachable(const traffic_state& state, const std::string& service);
+/// @return whether this instance reaches no target of the request's service. If no other instance reaches it
+/// either, targets are tried as soon as probes succeed again.
+bool should_pass_on(const traffic_state& state, const request_plan& plan);
 
 /// Updates what is known of the paths to the service's targets with the outcome of a send, and probes them if
 /// they may be lost.
--- a/packages/edge/src/relay_peers.cpp
+++ b/packages/edge/src/relay_peers.cpp
@@ -22,6 +22,8 @@
 // Subtracted from the time that the other instance is given, for the transfer of its answer.
 constexpr duration answer_margin = std::chrono::milliseconds(20);
 
+constexpr unsigned first_failure_status = 500;
+
 struct probe_round {
     std::size_t running = 0;
     bool any_reached = false;
@@ -111,8 +113,8 @@
     return peer.port == 0 ? std::nullopt : std::optional(peer);
 }
 
-std::optional<steering::target> find_hop(traffic_state& state, const request_plan& plan,
-                                         std::span<const std::string> tried)
+steering::next_hop_request hop_criteria(const traffic_state& state, const request_plan& plan,
+                                        std::span<const std::string> tried)
 {
     steering::next_hop_request criteria;
     criteria.service = plan.service;
@@ -122,8 +124,19 @@
         criteria.customer_regions = plan.customer->regions;
     }
     criteria.tried = tried;
-    const steering::next_hop* hop =
-        steering::select_next_hop(state.view.next_hops, criteria, uniform_real(state.random));
+    return criteria;
+}
+
+std::optional<steering::target> find_hop(traffic_state& state, const request_plan& plan,
+                                         std::span<const std::string> tried)
+{
+    const steering::next_hop_request criteria = hop_criteria(state, plan, tried);
+    const double random_value = uniform_real(state.random);
+    const steering::next_hop* hop = steering::select_next_hop(state.view.next_hops, criteria, random_value);
+    if (hop == nullptr) {
+        hop = steering::select_trial_hop(state.reach[plan.service], steering::reach_tuning{},
+                                         state.view.next_hops, criteria, random_value, boot_now());
+    }
     return hop == nullptr ? std::nullopt : to_peer(*hop);
 }
 
@@ -252,10 +265,15 @@
     return access;
 }
 
-bool is_unreachable(const traffic_state& state, const std::string& service)
+bool should_pass_on(const traffic_state& state, const request_plan& plan)
 {
-    const auto reach = state.reach.find(service);
-    return reach != state.reach.end() && reach->second.unreachable;
+    const auto reach = state.reach.find(plan.service);
+    if (reach == state.reach.end() || !reach->second.unreachable) {
+        return false;
+    }
+    const bool has_hop =
+        steering::select_next_hop(state.view.next_hops, hop_criteria(state, plan, {}), 0) != nullptr;
+    return has_hop || !steering::may_try_targets(reach->second);
 }
 
 asio::awaitable<platform::http_response> pass_on(traffic_state& state,
@@ -275,6 +293,9 @@
         tried.push_back(peer->id);
         const exchange_result result = co_await send_to_peer(state, request, plan, *peer);
         if (result.outcome == exchange_outcome::answered) {
+            if (result.response.result_int() < first_failure_status) {
+                steering::on_hop_served(state.reach[plan.service], peer->id, boot_now());
+            }
             co_return take_over_answer(*request, plan, result);
         }
         if (result.outcome == exchange_outcome::abandoned) {
--- a/packages/edge/src/relay_search.cpp
+++ b/packages/edge/src/relay_search.cpp
@@ -168,19 +168,6 @@
     return plan;
 }
 
-namespace {
-
-// Targets are tried although they may be unreachable if no other instance is left and probes succeed again.
-bool should_pass_on(const traffic_state& state, const request_plan& plan)
-{
-    if (!is_unreachable(state, plan.service)) {
-        return false;
-    }
-    return !state.view.next_hops.empty() || !steering::may_try_targets(state.reach.at(plan.service));
-}
-
-} // namespace
-
 asio::awaitable<search_outcome> find_target(traffic_state& state, std::shared_ptr<caller_request> request,
                                             request_plan& plan)
 {
