soak: fatal requests also come as copies at several instances at the same time, and unsafe ones

The soak sent one fatal request after the other, always a safe one. The bound is as before: three sends later than 3 s after the third end.

--- a/tools/soak/callers.cpp
+++ b/tools/soak/callers.cpp
@@ -110,24 +110,40 @@
     }
 }
 
+asio::awaitable<void> send_fatal_request(deployment& fleet, std::string attempt, std::string ip, bool unsafe)
+{
+    boost::system::error_code error;
+    auto open_connection = co_await connect_to(fleet, ip, error);
+    if (!error) {
+        standins::caller_request_spec spec;
+        spec.attempt = std::move(attempt);
+        spec.host = caller_host;
+        spec.path = (unsafe ? "/seal" : "/find") + std::string(fatal_path);
+        spec.key = "free-key";
+        spec.body = unsafe ? "b" : "";
+        spec.deadline = caller_deadline;
+        co_await exchange(open_connection, standins::make_caller_request(spec), error);
+    }
+}
+
+// Single requests at short intervals, or copies at several instances at the same time and a longer pause.
 asio::awaitable<void> run_fatal_caller(deployment& fleet, caller_log& log, std::uint64_t seed)
 {
+    constexpr std::size_t copies_of_batch = 4;
     std::mt19937_64 random(seed);
+    const bool sends_batches = random() % 2 == 0;
+    const bool unsafe = random() % 2 == 0;
     asio::steady_timer pause_timer(fleet.context);
     while (log.running) {
-        const instance_process& instance = fleet.instances.at(random() % fleet.instances.size());
-        boost::system::error_code error;
-        auto open_connection = co_await connect_to(fleet, instance.ip, error);
-        if (!error) {
-            standins::caller_request_spec spec;
-            spec.attempt = "fatal" + std::to_string(log.next_attempt++);
-            spec.host = caller_host;
-            spec.path = fatal_path;
-            spec.key = "free-key";
-            spec.deadline = caller_deadline;
-            co_await exchange(open_connection, standins::make_caller_request(spec), error);
+        for (std::size_t copy = 0; copy < (sends_batches ? copies_of_batch : 1); ++copy) {
+            const instance_process& instance = fleet.instances.at(random() % fleet.instances.size());
+            const std::string attempt = "fatal" + std::to_string(log.next_attempt++);
+            asio::co_spawn(fleet.context, send_fatal_request(fleet, attempt, instance.ip, unsafe),
+                           asio::detached);
         }
-        pause_timer.expires_after(std::chrono::milliseconds(100 + random() % 300));
+        const auto pause = sends_batches ? 1000 + random() % 3000 : 100 + random() % 300;
+        pause_timer.expires_after(std::chrono::milliseconds(pause));
+        boost::system::error_code error;
         co_await pause_timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
     }
 }
--- a/tools/soak/checks.cpp
+++ b/tools/soak/checks.cpp
@@ -80,7 +80,7 @@
     std::vector<clock::time_point> arrivals;
     for (server_process& server : run.fleet.servers) {
         for (const standins::received_request& request : standins::received_requests(*server.server)) {
-            if (request.target == fatal_path) {
+            if (request.target.ends_with(fatal_path)) {
                 arrivals.push_back(request.at);
             }
         }
--- a/tools/soak/fleet.cpp
+++ b/tools/soak/fleet.cpp
@@ -70,7 +70,7 @@
 // the server's thread.
 void watch_crashes(deployment& fleet, server_process& server)
 {
-    standins::set_crash_marker(*server.server, fatal_path);
+    standins::set_crash_marker(*server.server, std::string(fatal_path));
     server.server->restart_ms = 1500;
     server.server->on_crash = [&fleet, &server] {
         boost::asio::post(fleet.context, [&fleet, &server] { set_down(fleet, server, true); });
--- a/tools/soak/fleet.hpp
+++ b/tools/soak/fleet.hpp
@@ -62,8 +62,8 @@
 
 inline constexpr std::uint16_t front_port = 7300;
 inline constexpr const char* caller_host = "s.example";
-/// Part of the path of the requests that end the servers that run them.
-inline constexpr const char* fatal_path = "/find/fatal";
+/// End of the path of the requests that end the servers that run them.
+inline constexpr std::string_view fatal_path = "/fatal";
 
 std::string key_of(int number);
 
