--- a/packages/edge/tests/edge_relay_test.cpp
+++ b/packages/edge/tests/edge_relay_test.cpp
@@ -302,3 +302,100 @@
         }
     }
 }
+
+namespace {
+
+// Two servers that execute requests and refuse them with 503, without a statement on execution.
+struct unproved_fixture : edge_fixture {
+    unproved_fixture() : edge_fixture(2)
+    {
+        for (auto& server : servers) {
+            server->default_behavior = server_behavior::refuse_unproved;
+        }
+    }
+
+    bool is_true_refusal(unsigned status, const std::string& attempt)
+    {
+        const bool promises_not_run = status == 503 || status == 429 || status == 408 || status == 421;
+        return !promises_not_run || runs_of(attempt) == 0;
+    }
+};
+
+} // namespace
+
+TEST_CASE("edge relay: a refusal that says not run is true if the second target is to be left alone")
+{
+    unproved_fixture fixture;
+    standins::set_announcements(*fixture.servers.back(), "Retry-After: 5\r\n");
+    fixture.servers.back()->default_behavior = server_behavior::shed;
+    int run = 0;
+    for (int number = 0; number < 12; ++number) {
+        const std::string attempt = "a" + std::to_string(number);
+        const unsigned status =
+            fixture.ask(make_request(http::verb::get, "/find/" + attempt, attempt)).result_int();
+        CHECK(fixture.is_true_refusal(status, attempt));
+        run += fixture.runs_of(attempt) > 0 ? 1 : 0;
+    }
+    CHECK(run > 0);
+}
+
+TEST_CASE("edge relay: a refusal that says not run is true if the time is over after an unproved one")
+{
+    for (const int service_ms : {600, 900, 980}) {
+        CAPTURE(service_ms);
+        unproved_fixture fixture;
+        for (auto& server : fixture.servers) {
+            server->service_ms = service_ms;
+        }
+        for (const std::string attempt : {"a", "b", "c"}) {
+            const unsigned status =
+                fixture.ask(make_request(http::verb::get, "/find/" + attempt, attempt)).result_int();
+            CHECK(fixture.runs_of(attempt) > 0);
+            CHECK(fixture.is_true_refusal(status, attempt));
+        }
+    }
+}
+
+TEST_CASE("edge relay: a refusal that says not run is true if the instance stops after an unproved one")
+{
+    unproved_fixture fixture;
+    for (auto& server : fixture.servers) {
+        server->service_ms = 300;
+    }
+    std::vector<std::unique_ptr<caller>> callers;
+    for (int number = 0; number < 4; ++number) {
+        const std::string attempt = "a" + std::to_string(number);
+        callers.push_back(std::make_unique<caller>(fixture.settings.front.port));
+        http::write(callers.back()->stream, make_request(http::verb::get, "/find/" + attempt, attempt));
+        std::this_thread::sleep_for(100ms);
+    }
+    camphorknot::edge::begin_stop(*fixture.running);
+    for (int number = 0; number < 4; ++number) {
+        caller& waiting = *callers.at(static_cast<std::size_t>(number));
+        caller_response answer;
+        http::read(waiting.stream, waiting.buffer, answer);
+        const std::string attempt = "a" + std::to_string(number);
+        CHECK(fixture.runs_of(attempt) > 0);
+        CHECK(fixture.is_true_refusal(answer.result_int(), attempt));
+    }
+}
+
+TEST_CASE("edge relay: a caller that leaves after an unproved refusal does not stop the instance")
+{
+    unproved_fixture fixture;
+    for (int number = 0; number < 6; ++number) {
+        const std::string attempt = "a" + std::to_string(number);
+        fixture.servers.back()->default_behavior = server_behavior::silent;
+        {
+            caller leaving(fixture.settings.front.port);
+            http::write(leaving.stream, make_request(http::verb::get, "/find/" + attempt, attempt));
+            REQUIRE(eventually([&] { return fixture.runs_of(attempt) > 0; }));
+        }
+        std::this_thread::sleep_for(50ms);
+    }
+    for (auto& server : fixture.servers) {
+        server->default_behavior = server_behavior::serve;
+    }
+    CHECK(eventually(
+        [&] { return fixture.ask(make_request(http::verb::get, "/find/1", "last")).result_int() == 200; }));
+}
