--- a/tools/soak/faults.cpp
+++ b/tools/soak/faults.cpp
@@ -161,6 +161,26 @@
     });
 }
 
+// All servers reject at the same time, some of them without a statement on execution: a request that ran at
+// one of them is rejected by the next, which did not run it.
+void inject_rejection_series(run_state& run)
+{
+    ++run.faults["rejection series"];
+    const double length = uniform_between(run, 0.5, 2);
+    mark_unstable(run, length);
+    for (std::size_t index = 0; index < run.fleet.servers.size(); ++index) {
+        standins::server_standin& server = *run.fleet.servers.at(index).server;
+        const std::lock_guard lock(server.guard);
+        server.default_behavior = index % 2 == 0 ? server_behavior::refuse_unproved : server_behavior::shed;
+    }
+    schedule_after(run, seconds(length), [&run] {
+        for (server_process& server : run.fleet.servers) {
+            const std::lock_guard lock(server.server->guard);
+            server.server->default_behavior = server_behavior::serve;
+        }
+    });
+}
+
 void inject_change(run_state& run)
 {
     switch (run.random() % 4) {
@@ -227,6 +247,10 @@
             }
         });
     }
+    if (run.random() % 3 == 0) {
+        schedule_after(run, seconds(uniform_between(run, 3, fault_seconds)),
+                       [&run] { inject_rejection_series(run); });
+    }
     if (run.random() % 2 == 0) {
         ++run.faults["fatal request"];
         schedule_after(run, seconds(uniform_between(run, 3, fault_seconds)),
