steering: ends beyond the stored ones replace the middle ones, so that they still condemn

Callers would see: a request whose first copies end sixteen targets at once is never condemned.

Cause: a suspect stores sixteen runs, and each further one was dropped. If the first sixteen count as one end, or lie before a verdict that has lapsed, no later end changes anything.

Change: the first and the last eight are kept. That does not depend on the order in which evidence arrives. The new test fails before (two ends after thirty-two copies at once did not condemn).

--- a/packages/decision/src/steering/crash_verdicts.cpp
+++ b/packages/decision/src/steering/crash_verdicts.cpp
@@ -275,8 +275,9 @@
     return table.suspects[key];
 }
 
-// Whether the run was added, or its stored times were replaced by earlier ones, which have fewer delays in
-// them.
+// Whether the run was added. The stored times of a known run are replaced by earlier ones, which have fewer
+// delays in them. Beyond the limit the first and the last runs are kept, which does not depend on the order
+// of arrival.
 bool add_run(const crash_tuning& tuning, crash_suspect& suspect, const ended_run& run)
 {
     const auto stored = std::ranges::find_if(
@@ -287,12 +288,15 @@
         stored->version_answered_at = std::max(stored->version_answered_at, run.version_answered_at);
         return false;
     }
-    if (suspect.runs.size() >= tuning.max_runs) {
-        return false;
-    }
     suspect.runs.push_back(run);
     std::ranges::sort(suspect.runs, {}, &ended_run::ended_at);
-    return true;
+    if (suspect.runs.size() <= tuning.max_runs) {
+        return true;
+    }
+    const auto middle = suspect.runs.begin() + static_cast<std::ptrdiff_t>(tuning.max_runs / 2);
+    const bool is_dropped = incarnation_of(*middle) == incarnation_of(run);
+    suspect.runs.erase(middle);
+    return !is_dropped;
 }
 
 ended_run to_run(const crash_report::run& reported, time_point now)
--- a/packages/decision/tests/steering_crash_verdicts_test.cpp
+++ b/packages/decision/tests/steering_crash_verdicts_test.cpp
@@ -223,6 +223,31 @@
     CHECK(is_condemned(two_causes, key_of(2), 4s));
 }
 
+TEST_CASE("crash verdicts: ends after more of them than are stored still condemn, and merge in any order")
+{
+    crash_table first;
+    crash_table second;
+    std::vector<ended_run> runs;
+    for (std::size_t copy = 0; copy < 2 * first.tuning.max_runs; ++copy) {
+        runs.push_back(run_at("c" + std::to_string(copy), 0s, 500ms + std::chrono::milliseconds(copy)));
+    }
+    runs.push_back(run_at("d", 2s, 3s));
+    runs.push_back(run_at("e", 4s, 5s));
+    for (const ended_run& run : runs) {
+        on_run_ended(first, key_of(1), run, run.ended_at);
+    }
+    std::ranges::reverse(runs);
+    for (const ended_run& run : runs) {
+        on_run_ended(second, key_of(1), run, start + 6s);
+    }
+    for (const crash_table* table : {&first, &second}) {
+        CHECK(table->suspects.at(key_of(1)).runs.size() == table->tuning.max_runs);
+        CHECK(is_condemned(*table, key_of(1), 6s));
+    }
+    CHECK_FALSE(on_crash_reports_received(first, all_reports(second, 6s), start + 6s));
+    CHECK_FALSE(on_crash_reports_received(second, all_reports(first, 6s), start + 6s));
+}
+
 TEST_CASE("crash verdicts: an incarnation of a target counts once, however often its end is reported")
 {
     crash_table table;
