steering: a verdict lapses at each instance at another time, and the request is then sent once

Callers would see: when a verdict lapses, the request that comes at all instances is sent by each of them, to two targets if it is safe, and ends them all.

Cause: a verdict ended at the same moment at all instances.

Change: a verdict lasts up to twice its length, by a fraction that each instance draws at its start. A request that was condemned is not sent to a second target after a lost connection. The test counts at most three.

Not tested: the second part, which needs a verdict that lapses; an edge test would last two minutes.

--- a/packages/decision/include/camphorknot/steering/crash_verdicts.hpp
+++ b/packages/decision/include/camphorknot/steering/crash_verdicts.hpp
@@ -81,6 +81,9 @@
 /// All suspects known to this instance.
 struct crash_table {
     crash_tuning tuning;
+    /// Fraction of its length, 0 to 1, by which a verdict lasts longer at this instance: the instances do not
+    /// all send the request again at the same time.
+    double verdict_extension = 0;
     std::map<suspect_key, crash_suspect> suspects{};
     std::map<std::uint64_t, std::size_t> outlines{}; ///< Number of suspects by request_identity::outline.
 };
@@ -132,6 +135,10 @@
 /// @return the standing of the request at targets of the version.
 crash_standing standing_of(const crash_table& table, const suspect_key& key, time_point now);
 
+/// @return whether the request was condemned at any version of the service, though the verdict may have
+/// lapsed here. Another end under it is enough for the next one.
+bool was_condemned(const crash_table& table, const request_identity& request, std::string_view service);
+
 /// @return whether the request is a suspect or condemned at any version of the service.
 bool is_suspected(const crash_table& table, const request_identity& request, std::string_view service);
 
--- a/packages/decision/src/steering/crash_verdicts.cpp
+++ b/packages/decision/src/steering/crash_verdicts.cpp
@@ -173,28 +173,21 @@
     }
 }
 
-bool is_condemned_anywhere(const crash_table& table, const suspect_key& key)
-{
-    bool condemned = false;
-    for_each_version(table, key.request, key.service, [&](const crash_suspect& suspect) {
-        condemned = condemned || suspect.condemned_until != time_point{};
-    });
-    return condemned;
-}
-
 // Runs that condemn the request at this version: one suffices for a request that is condemned at another.
 std::size_t needed_runs(const crash_table& table, const suspect_key& key)
 {
-    return is_condemned_anywhere(table, key) ? 1 : table.tuning.runs_to_condemn;
+    return was_condemned(table, key.request, key.service) ? 1 : table.tuning.runs_to_condemn;
 }
 
-duration verdict_length(const crash_tuning& tuning, std::size_t further_runs)
+duration verdict_length(const crash_table& table, std::size_t further_runs)
 {
+    const crash_tuning& tuning = table.tuning;
     duration length = tuning.first_verdict;
     for (std::size_t run = 0; run < further_runs && length < tuning.max_verdict; ++run) {
         length *= tuning.verdict_factor;
     }
-    return std::min(length, tuning.max_verdict);
+    const double limited = static_cast<double>(std::min(length, tuning.max_verdict).count());
+    return duration(static_cast<std::int64_t>(limited * (1 + table.verdict_extension)));
 }
 
 // The suspect with the most runs that count among those whose evidence suffices, with the case against it.
@@ -234,8 +227,7 @@
         const std::size_t further_runs =
             found.strength - std::min(found.strength, table.tuning.runs_to_condemn);
         entry->second.condemned_from = found.valid_from;
-        entry->second.condemned_until =
-            found.runs.back()->ended_at + verdict_length(table.tuning, further_runs);
+        entry->second.condemned_until = found.runs.back()->ended_at + verdict_length(table, further_runs);
         for (const ended_run& run : entry->second.runs) {
             context.explained.insert(incarnation_of(run));
         }
@@ -405,6 +397,15 @@
     return is_condemned ? crash_standing::condemned : crash_standing::suspected;
 }
 
+bool was_condemned(const crash_table& table, const request_identity& request, std::string_view service)
+{
+    bool condemned = false;
+    for_each_version(table, request, service, [&](const crash_suspect& suspect) {
+        condemned = condemned || suspect.condemned_until != time_point{};
+    });
+    return condemned;
+}
+
 bool is_suspected(const crash_table& table, const request_identity& request, std::string_view service)
 {
     bool suspected = false;
--- a/packages/decision/tests/steering_crash_verdicts_test.cpp
+++ b/packages/decision/tests/steering_crash_verdicts_test.cpp
@@ -357,6 +357,38 @@
     CHECK(further <= 3);
 }
 
+TEST_CASE("crash verdicts: copies of a request that come at all instances all day reach few targets")
+{
+    constexpr std::size_t instance_count = 8;
+    std::vector<crash_table> tables(instance_count);
+    for (std::size_t instance = 0; instance < instance_count; ++instance) {
+        tables.at(instance).verdict_extension = static_cast<double>(instance) / instance_count;
+        end_targets(tables.at(instance), key_of(1), 3);
+    }
+    std::size_t further = 0;
+    // A copy a second at each instance; what ends is known to all after two seconds.
+    std::vector<std::pair<time_point, ended_run>> news;
+    for (duration now = 5s; now < 24h; now += 1s) {
+        for (const auto& [known_at, run] : news) {
+            for (crash_table& table : tables) {
+                if (known_at <= start + now) {
+                    on_run_ended(table, key_of(1), run, start + now);
+                }
+            }
+        }
+        std::erase_if(news, [&](const auto& item) { return item.first <= start + now; });
+        for (crash_table& table : tables) {
+            on_condemned_refused(table, key_of(1).request, "desk", start + now);
+            if (!is_condemned(table, key_of(1), now)) {
+                const ended_run run = run_at("r" + std::to_string(++further), now, now + 100ms);
+                on_run_ended(table, key_of(1), run, start + now + 100ms);
+                news.emplace_back(start + now + 2s, run);
+            }
+        }
+    }
+    CHECK(further <= 3);
+}
+
 TEST_CASE("crash verdicts: suspects are forgotten, also when instances keep telling each other of them")
 {
     crash_table first;
--- a/packages/edge/src/relay.hpp
+++ b/packages/edge/src/relay.hpp
@@ -99,6 +99,9 @@
 /// @return whether the request was running when targets of any version of its service ended.
 bool is_suspect(traffic_state& state, const caller_request& request, request_plan& plan);
 
+/// @return whether the request was condemned at any version of its service, though the verdict may have lapsed.
+bool was_condemned(traffic_state& state, const caller_request& request, request_plan& plan);
+
 /// @return the answer to a condemned request; it asks the caller to come back when the verdict ends.
 platform::http_response refuse_condemned(traffic_state& state, const caller_request& request,
                                          const request_plan& plan, time_point now);
--- a/packages/edge/src/relay_crashes.cpp
+++ b/packages/edge/src/relay_crashes.cpp
@@ -218,6 +218,12 @@
     return identity && steering::is_suspected(state.crashes.table, *identity, plan.service);
 }
 
+bool was_condemned(traffic_state& state, const caller_request& request, request_plan& plan)
+{
+    const auto& identity = find_identity(state, request, plan);
+    return identity && steering::was_condemned(state.crashes.table, *identity, plan.service);
+}
+
 bool is_condemned_everywhere(traffic_state& state, const caller_request& request, request_plan& plan,
                              time_point now)
 {
--- a/packages/edge/src/relay_send.cpp
+++ b/packages/edge/src/relay_send.cpp
@@ -264,7 +264,10 @@
     request->may_have_run = request->may_have_run || !never_ran;
     ++(not_received ? plan.connect_failures : plan.send_count);
     plan.tried.push_back(target.id);
-    const bool should_retry = !request->caller_left && may_retry(state, plan, result, outcome, now);
+    // A request whose verdict has lapsed ends one target at most until the next one.
+    const bool is_on_trial = result.connection_lost && was_condemned(state, *request, plan);
+    const bool should_retry =
+        !request->caller_left && !is_on_trial && may_retry(state, plan, result, outcome, now);
     log_send(state, *request, plan, target, result, placement.expected_warm, now - start, should_retry);
     co_return send_outcome{std::move(result), should_retry};
 }
--- a/packages/edge/src/traffic.cpp
+++ b/packages/edge/src/traffic.cpp
@@ -211,6 +211,7 @@
     state.pool.own_region = state.settings.identity.region;
     state.connections.egress_ip = state.settings.egress_ip;
     state.random.state = hash_name(state.settings.identity.name) ^ state.settings.identity.incarnation;
+    state.crashes.table.verdict_extension = uniform_real(state.random);
     register_metrics(state);
     asio::co_spawn(state.context, accept_sessions(state, state.acceptor, session_kind::caller),
                    asio::detached);
