--- a/packages/edge/src/crash_watch.hpp
+++ b/packages/edge/src/crash_watch.hpp
@@ -30,8 +30,8 @@
     std::shared_ptr<const steering::crash_table> published;
     std::map<std::string, std::vector<lost_run>> inquiries; ///< Runs to be decided on, by target id.
     std::multiset<std::string> suspect_targets; ///< Targets at which suspects of this instance are.
-    std::map<std::pair<std::string, std::string>, steering::version_history>
-        versions;                   ///< By service, version.
+    /// By service and version.
+    std::map<std::pair<std::string, std::string>, steering::version_history> versions;
     std::string last_answer_target; ///< Id of the target that answered last.
     time_point last_answered_at{};
     time_point last_tick_at{};
--- a/packages/edge/src/relay.hpp
+++ b/packages/edge/src/relay.hpp
@@ -99,7 +99,8 @@
 /// @return whether the request was running when targets of any version of its service ended.
 bool is_suspect(traffic_state& state, const caller_request& request, request_plan& plan);
 
-/// @return whether the request was condemned at any version of its service, though the verdict may have lapsed.
+/// @return whether the request was condemned at any version of its service, though the verdict may have
+/// lapsed.
 bool was_condemned(traffic_state& state, const caller_request& request, request_plan& plan);
 
 /// @return the answer to a condemned request; it asks the caller to come back when the verdict ends.
