--- a/packages/edge/tests/edge_fixture.hpp
+++ b/packages/edge/tests/edge_fixture.hpp
@@ -1,6 +1,7 @@
 // Test fixture: an instance with stand-ins for the store and for the servers, and a simple caller.
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -178,7 +179,8 @@
     void register_server(const std::string& id, std::uint16_t port, const std::string& state,
                          std::int64_t born_ms)
     {
-        const auto number = static_cast<std::size_t>(std::stoi(id.substr(id.find('-') + 1)));
+        const auto server = std::ranges::find_if(servers, [&](const auto& entry) { return entry->id == id; });
+        const auto number = static_cast<std::size_t>(server - servers.begin());
         const std::string& domain = server_domains.at(number % server_domains.size());
         standins::put_row(*store, "servers", id,
                           standins::server_row("desk", local_ip() + ":" + std::to_string(port), domain, "v1",
