soak: servers that leave by their answers or ask for quiet, and a store that returns from an old copy

Each of the three faults is played in a third of the seeds, in a file of their own with two checks: an instance sends nothing to a server 2.5 s after it has passed on an answer that says the server leaves, and at most two requests between 0.5 s after a rejection with Retry-After and its end. The existing checks cover withdrawn keys and configurations after the store's return.

--- a/tools/soak/checks.cpp
+++ b/tools/soak/checks.cpp
@@ -3,18 +3,10 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
-#include <span>
 
-namespace soak {
-namespace {
+#include "announcements.hpp"
 
-// Maximum time until a change is in force on all instances that can reach the store.
-constexpr auto max_apply_time = 3s;
-// Minimum fraction of requests that must be served once the recovery time after the last fault is over.
-constexpr double min_recovered_fraction = 0.95;
-// Time after which all instances know of a request that ends its servers, and sends of it after that.
-constexpr auto spread_time = 3s;
-constexpr std::ptrdiff_t max_later_fatal_sends = 3;
+namespace soak {
 
 void report_violation(run_state& run, const std::string& rule, const std::string& detail)
 {
@@ -25,6 +17,24 @@
     run.violations.push_back(rule + ": " + detail);
 }
 
+bool is_at(std::span<const run_state::instance_interval> intervals, const std::string& instance,
+           clock::time_point from, clock::time_point to)
+{
+    return std::ranges::any_of(intervals, [&](const run_state::instance_interval& interval) {
+        return interval.instance == instance && interval.from <= to && interval.to > from;
+    });
+}
+
+namespace {
+
+// Maximum time until a change is in force on all instances that can reach the store.
+constexpr auto max_apply_time = 3s;
+// Minimum fraction of requests that must be served once the recovery time after the last fault is over.
+constexpr double min_recovered_fraction = 0.95;
+// Time after which all instances know of a request that ends its servers, and sends of it after that.
+constexpr auto spread_time = 3s;
+constexpr std::ptrdiff_t max_later_fatal_sends = 3;
+
 // Whether no fault was active between `from`, less `stabilization_time`, and `to`.
 bool was_stable(const run_state& run, clock::time_point from, clock::time_point to)
 {
@@ -99,14 +109,6 @@
     }
 }
 
-bool is_at(std::span<const run_state::instance_interval> intervals, const std::string& instance,
-           clock::time_point from, clock::time_point to)
-{
-    return std::ranges::any_of(intervals, [&](const run_state::instance_interval& interval) {
-        return interval.instance == instance && interval.from <= to && interval.to > from;
-    });
-}
-
 // Whether the instance was running undisturbed and had reached the store for a while.
 bool is_in_touch(const run_state& run, const request_result& result)
 {
@@ -273,6 +275,7 @@
     check_rate(run);
     check_graceful_stops(run);
     check_recovery(run, faults_ended);
+    check_announcements(run);
 }
 
 } // namespace soak
--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -6,6 +6,7 @@
 #include <gflags/gflags.h>
 #include <unistd.h>
 
+#include "announcements.hpp"
 #include "checks.hpp"
 #include "faults.hpp"
 
@@ -51,6 +52,7 @@
     }
     const auto start_time = clock::now();
     schedule_faults(run, FLAGS_seconds);
+    schedule_announcements(run, FLAGS_seconds);
     schedule_after(run, 1.5s, [&run] { start_callers(run.fleet, run.callers, caller_count, run.random); });
     const seconds total_time = seconds(FLAGS_seconds) + 5s + recovery_time + 3s;
     schedule_after(run, total_time, [&run] { run.callers.running = false; });
--- a/tools/soak/run.hpp
+++ b/tools/soak/run.hpp
@@ -38,6 +38,14 @@
     std::vector<instance_interval> cuts;          ///< From all servers.
     std::vector<instance_interval> disturbed;     ///< Killed, suspended or stopped, and the time after that.
     std::vector<instance_interval> without_store; ///< Faults of the store or the instance's link to it.
+    struct announcement {
+        std::string server;
+        clock::time_point from;
+        clock::time_point to;
+        std::int64_t born_ms = 0; ///< Incarnation of the server.
+    };
+    std::vector<announcement> quiet;   ///< Servers that reject requests and ask for quiet.
+    std::vector<announcement> leaving; ///< Servers that say in their answers that they leave.
     std::map<std::string, int> faults;
     std::set<pid_t> killed;
     std::vector<std::string> violations;
