soak: a server's last rejections carry no request for quiet

Traced in the logs: the request arrived 20 ms before the quiet time ended and was answered after it, 503 without Retry-After; the instance has no target_quiet line for it. The server had not asked, so requests may come.

--- a/tools/soak/announcements.cpp
+++ b/tools/soak/announcements.cpp
@@ -36,7 +36,8 @@
     };
     set_behavior(server_behavior::shed);
     const auto now = clock::now();
-    run.quiet.push_back({server->id, now, now + 3s, server->born_ms});
+    // The last requests of this time are answered after it, without the announcement.
+    run.quiet.push_back({server->id, now, now + 2800ms, server->born_ms});
     schedule_after(run, 3s, [server, set_behavior] {
         set_behavior(server_behavior::serve);
         standins::set_announcements(*server->server, "");
