--- a/tools/soak/announcements.cpp
+++ b/tools/soak/announcements.cpp
@@ -12,7 +12,7 @@
 
 constexpr auto quiet_time = 2s;
 constexpr std::ptrdiff_t max_requests_in_quiet_time = 2;
-// Time after which an instance sends nothing more to a server that has told it that it leaves.
+// Time after which an instance sends nothing more to a server whose answer said that it leaves.
 constexpr auto leaving_time = 2500ms;
 
 server_process* pick_staying_server(run_state& run)
@@ -148,19 +148,19 @@
 
 void check_leaving(run_state& run, const run_state::announcement& announced)
 {
-    std::map<std::string, clock::time_point> told; // End of the first answer that said so, by instance.
+    std::map<std::string, clock::time_point> notified; // End of the first answer that said so, by instance.
     const std::vector<arrival> arrivals = arrivals_at(run, announced.server);
     for (const arrival& answered : arrivals) {
         const bool was_passed_on = answered.at >= announced.from && answered.request->has_valid_signature;
         if (was_passed_on) {
             const auto [place, is_new] =
-                told.try_emplace(answered.request->instance, answered.request->ended);
+                notified.try_emplace(answered.request->instance, answered.request->ended);
             place->second = std::min(place->second, answered.request->ended);
         }
     }
     for (const arrival& late : arrivals) {
-        const auto since = told.find(late.request->instance);
-        if (since != told.end() && late.request->sent > since->second + leaving_time &&
+        const auto since = notified.find(late.request->instance);
+        if (since != notified.end() && late.request->sent > since->second + leaving_time &&
             !is_excused(run, since->first, since->second, late.at)) {
             report_violation(run, "leaving server",
                              late.request->attempt + " at " + announced.server + " from " + since->first);
