--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -18,6 +18,7 @@
 std::string resources()
 {
     return route_json("scan", "/scan/", "safe", "scanvault", true, 2.5, 0.8) + "," +
+           route_json("intake", "/intake/", "unsafe", "scanvault", true, 2.5, 0.8) + "," +
            service_json("scanvault") + "," +
            route_json("lookup", "/lookup/", "safe", "catalogue", true, 2.5, 0.6) + "," +
            service_json("catalogue") + "," + tenant_json("guild", "guild-key") + "," + limits_json();
@@ -28,13 +29,14 @@
     fleet.write_configuration(resources());
     int number = 0;
     const auto decide = [](const message& request) {
-        server_reply reply{200, 60, true, ""};
+        server_reply reply{200, 200, true, ""};
         reply.crashes = is_trouble_on() && request.path() == fatal_path;
         return reply;
     };
     std::vector<server*> scanvault;
     for (const char* place : {"reykjavik-a", "akureyri-a", "egilsstadir-a"}) {
-        for (int copy = 0; copy < 2; ++copy) {
+        // The third zone has no servers of the service; requests from there go to those of the others.
+        for (int copy = 0; copy < 2 && scanvault.size() < 4; ++copy) {
             scanvault.push_back(
                 &fleet.add_server({"i-" + std::to_string(++number), "scanvault", place, "v1", 3}, decide));
         }
@@ -56,9 +58,10 @@
     });
     std::vector<const instance*> scanning(all.begin(),
                                           all.begin() + (std::getenv("WITH_TRAFFIC") != nullptr ? 3 : 2));
-    traffic scans(fleet, scanning, 2, 3, [](std::uint64_t index) {
+    traffic scans(fleet, scanning, 4, 3, [](std::uint64_t index) {
         const std::string object = std::to_string(100 + index % 24);
-        return client_request{"GET", "/scan/" + object, "guild-key", object, 4000};
+        return index % 2 == 0 ? client_request{"GET", "/scan/" + object, "guild-key", object, 4000}
+                              : client_request{"POST", "/intake/" + object, "guild-key", object, 4000};
     });
     sleep_until(start + 5);
     std::vector<client_result> tries;
