Records: an order that was removed before is obeyed when the first read of a new era lists it

Callers saw: an evacuation that was acknowledged as the store returned from an old copy was never carried out if the same failure domain had been evacuated and taken back before; a third of the requests went on to its targets.

Evidence: no instance logged evacuation_ordered; other orders of the era arrived.

Change: the content order of the platform decides.

--- a/packages/decision/include/camphorknot/steering/record_replica.hpp
+++ b/packages/decision/include/camphorknot/steering/record_replica.hpp
@@ -84,15 +84,17 @@
     return replica.collections.at(static_cast<std::size_t>(group));
 }
 
-/// @return whether the content of the first record is known to be newer than that of the second.
+/// @return whether the content of the first record, which may be removed, is known to be newer than that of
+/// the second.
 using content_order = std::function<bool(const record&, const record&)>;
 
 /// Applies @p update. Records that are not newer than the stored version are ignored.
 ///
-/// The first update of a new era comes from an old copy. It undoes nothing that is known to be newer: removed
-/// records stay removed, newer content is kept, and records that the copy lacks are kept until the next
-/// snapshot, since their writers write them again.
-/// @param is_newer decides on the content of records of different eras.
+/// The first update of a new era comes from an old copy. It undoes nothing that is known to be newer by
+/// @p is_newer, and records that the copy lacks are kept until the next snapshot, since their writers write
+/// them again. All other records are taken over: one that was removed may have been written again since.
+/// @param is_newer decides on the content of records of different eras, and on removals that the store
+/// contradicts; null if no content is known to be newer.
 /// @return the records that changed.
 std::vector<record> apply_update(record_replica& replica, const record_update& update,
                                  const content_order& is_newer = nullptr);
--- a/packages/decision/src/steering/record_replica.cpp
+++ b/packages/decision/src/steering/record_replica.cpp
@@ -16,6 +16,25 @@
     return true;
 }
 
+bool is_known_to_be_newer(const record& stored, const record& incoming, const content_order& is_newer)
+{
+    return stored.version > 0 && is_newer != nullptr && is_newer(stored, incoming);
+}
+
+// A snapshot that is as recent as a removal and still lists the record proves that it was not removed.
+bool undo_false_removal(record_replica::collection_records& group_records, const record_update& update,
+                        const record& entry, const content_order& is_newer)
+{
+    record& stored = group_records.records[entry.key];
+    const bool is_disproved = stored.removed && stored.version >= entry.version &&
+                              stored.version <= update.position.version &&
+                              !is_known_to_be_newer(stored, entry, is_newer);
+    if (is_disproved) {
+        stored = entry;
+    }
+    return is_disproved;
+}
+
 // A snapshot lists all existing records: any other stored record up to its version has been removed.
 void apply_removals(record_replica::collection_records& group_records, const record_update& update,
                     std::vector<record>& changed)
@@ -42,13 +61,10 @@
     for (const record& entry : update.records) {
         present.insert(entry.key);
         record& stored = group_records.records[entry.key];
-        const bool is_known = stored.version > 0;
-        const bool keeps_stored =
-            is_known && (stored.removed || (is_newer != nullptr && is_newer(stored, entry)));
-        if (keeps_stored) {
+        if (is_known_to_be_newer(stored, entry, is_newer)) {
             stored.version = entry.version;
         } else {
-            const bool is_same = is_known && stored.value == entry.value;
+            const bool is_same = stored.version > 0 && !stored.removed && stored.value == entry.value;
             stored = entry;
             if (!is_same) {
                 changed.push_back(entry);
@@ -84,7 +100,8 @@
         apply_removals(group_records, update, changed);
     }
     for (const record& entry : update.records) {
-        if (apply_record(group_records, entry)) {
+        if (apply_record(group_records, entry) ||
+            (update.is_snapshot && undo_false_removal(group_records, update, entry, is_newer))) {
             changed.push_back(entry);
         }
     }
--- a/packages/edge/tests/edge_era_test.cpp
+++ b/packages/edge/tests/edge_era_test.cpp
@@ -22,6 +22,29 @@
            "}";
 }
 
+constexpr const char* evacuation_key = "evacuate/rvk-a";
+
+// Whether the server gets none of the next requests, of which eight are sent at a time.
+bool gets_nothing(edge_fixture& fixture, standins::server_standin& server)
+{
+    {
+        const std::lock_guard lock(server.guard);
+        server.received.clear();
+    }
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < 8; ++caller) {
+        callers.emplace_back([&fixture] {
+            for (int count = 0; count < 10; ++count) {
+                fixture.ask(make_request(http::verb::get, "/find/" + std::to_string(count), "k"));
+            }
+        });
+    }
+    for (std::thread& caller : callers) {
+        caller.join();
+    }
+    return standins::received_requests(server).empty();
+}
+
 bool is_rolled_back(standins::store_standin& store)
 {
     return standins::row_value(store, "status", "rollout/desk").find("rolled_back") != std::string::npos;
@@ -127,3 +150,48 @@
     CHECK(standins::received_requests(canary).size() == before);
     CHECK(eventually([&] { return is_rolled_back(*fixture.store); }));
 }
+
+// Guards against an evacuation that is acknowledged and never carried out: the failure domain was evacuated
+// before, and the order is given again as the store returns from an old copy.
+TEST_CASE("edge era: an evacuation that was taken back is carried out when it is ordered again in a new era")
+{
+    edge_fixture fixture(0);
+    fixture.server_domains = {"rvk-a", "rvk-b"};
+    fixture.add_server("i-1");
+    fixture.add_server("i-2");
+    fixture.start();
+    standins::server_standin& evacuated = *fixture.servers.at(0);
+    const auto in_force = [&] { return gets_nothing(fixture, evacuated); };
+    const auto taken_back = [&] { return !gets_nothing(fixture, evacuated); };
+    standins::put_row(*fixture.store, "op", evacuation_key, R"({"zone":"rvk-a"})");
+    REQUIRE(eventually(in_force));
+    standins::drop_row(*fixture.store, "op", evacuation_key);
+    REQUIRE(eventually(taken_back));
+    const standins::store_copy copy = standins::take_copy(*fixture.store);
+    fixture.store->fault = standins::store_fault::busy;
+    standins::restore_copy(*fixture.store, copy);
+    standins::put_row(*fixture.store, "op", evacuation_key, R"({"zone":"rvk-a"})");
+    fixture.store->fault = standins::store_fault::none;
+    CHECK(eventually(in_force));
+    standins::drop_row(*fixture.store, "op", evacuation_key);
+    CHECK(eventually(taken_back));
+}
+
+TEST_CASE("edge era: an evacuation that an old copy brings back ends when it is taken back again")
+{
+    edge_fixture fixture(0);
+    fixture.server_domains = {"rvk-a", "rvk-b"};
+    fixture.add_server("i-1");
+    fixture.add_server("i-2");
+    fixture.start();
+    standins::server_standin& evacuated = *fixture.servers.at(0);
+    standins::put_row(*fixture.store, "op", evacuation_key, R"({"zone":"rvk-a"})");
+    REQUIRE(eventually([&] { return gets_nothing(fixture, evacuated); }));
+    const standins::store_copy copy = standins::take_copy(*fixture.store);
+    standins::drop_row(*fixture.store, "op", evacuation_key);
+    REQUIRE(eventually([&] { return !gets_nothing(fixture, evacuated); }));
+    standins::restore_copy(*fixture.store, copy);
+    std::this_thread::sleep_for(1s); // The row is read before the operator removes it again.
+    standins::drop_row(*fixture.store, "op", evacuation_key);
+    CHECK(eventually([&] { return !gets_nothing(fixture, evacuated); }));
+}
