Rollouts: an instance that does not see the fleet asks the store for a hold before it promotes or completes

Callers saw: an instance that woke from a freeze, or returned from a cut, completed the rollout of a bad version that all others held. The old targets stopped, and every request went to the bad version.

Cause: without a view of half of the fleet an instance took the version for proven, its share made up for the freeze in one step, and 'all others have moved' is true when nobody is seen.

Change: two instances record a hold in the table rollout_holds. Without a view the share rises and a rollout completes only on a recent read that shows no hold, and on the condition that the row is unchanged. Gaps of more than a second between updates of a share do not count, nobody completes while a live instance keeps the share of the canary, and an instance that has heard of no other has no view.

The only instance that is left still completes in time (test).

--- a/packages/decision/include/camphorknot/steering/rollout_pacer.hpp
+++ b/packages/decision/include/camphorknot/steering/rollout_pacer.hpp
@@ -45,6 +45,19 @@
     double min_unanswered_standard_errors = 1.5;
     /// Fraction of the time limit at which a version that does not get all requests is rolled back.
     double abandon_fraction = 0.95;
+    /// The share rises by no more than in this time from one update to the next. What passes while the
+    /// process is suspended does not count, since the other instances may have held the version meanwhile.
+    duration max_update_gap = std::chrono::seconds(1);
+    /// Age up to which a hold that was read from the store is relied on.
+    duration max_hold_age = std::chrono::milliseconds(1500);
+};
+
+/// Whether the fleet keeps a new version at the share of the canary, as recorded in the store for instances
+/// that do not see the fleet.
+struct rollout_hold {
+    std::uint64_t order_version = 0; ///< Of the order that it belongs to; 0 if none was recorded.
+    bool held = false;
+    std::uint64_t record_version = 0; ///< 0 if there is no record.
 };
 
 /// State of one rollout at this instance.
@@ -53,13 +66,17 @@
     time_point first_seen{};
     duration peer_elapsed{}; ///< Longest elapsed time reported by another instance, at `peer_elapsed_at`.
     time_point peer_elapsed_at{};
-    bool stopped = false;   ///< The new version was found to be failing.
-    bool completed = false; ///< Recorded as completed, in a record that the store has lost.
-    double share = 0;       ///< Share of this instance's traffic that the new version gets.
-    time_point share_at{};  ///< When `share` was updated.
-    double peer_share = 0;  ///< Smallest share at the other instances.
-    bool held = false;      ///< Kept at the share of the canary for lack of good answers.
-    time_point moved_at{};  ///< When the share reached 1 at this instance.
+    bool stopped = false;                     ///< The new version was found to be failing.
+    bool completed = false;                   ///< Recorded as completed, in a record that the store has lost.
+    double share = 0;                         ///< Share of this instance's traffic that the new version gets.
+    time_point share_at{};                    ///< When `share` was updated.
+    double peer_share = 0;                    ///< Smallest share at the other instances.
+    bool held = false;                        ///< Kept at the share of the canary for lack of good answers.
+    bool hold_recorded = false;               ///< This instance has recorded the hold in the store.
+    bool held_elsewhere = false;              ///< Another live instance keeps it at that share.
+    rollout_hold known_hold{};                ///< As last read from the store.
+    std::optional<time_point> hold_read_at{}; ///< When that read began.
+    time_point moved_at{};                    ///< When the share reached 1 at this instance.
     time_point due_since{}; ///< When `due_state` became due to be recorded; zero if nothing is due.
     rollout_state due_state = rollout_state::running;
 };
@@ -87,6 +104,9 @@
 bool may_promote(std::span<const version_counts> counts, const rollout_order& order,
                  const rollout_tuning& tuning, duration observed);
 
+/// @return whether an instance that does not see the fleet knows that the fleet does not hold the version.
+bool is_hold_excluded(const rollout_run& run, const rollout_tuning& tuning, time_point now);
+
 /// @param scheduled result of new_version_share.
 /// @param promoted result of may_promote.
 /// @return the share after @p scheduled is limited to that of the canary, unless @p promoted, and its
--- a/packages/decision/src/steering/rollout_pacer.cpp
+++ b/packages/decision/src/steering/rollout_pacer.cpp
@@ -117,6 +117,12 @@
     return good_answers >= tuning.min_good_answers || gets_few_requests;
 }
 
+bool is_hold_excluded(const rollout_run& run, const rollout_tuning& tuning, time_point now)
+{
+    const bool is_held = run.known_hold.held && run.known_hold.order_version == run.order.order_version;
+    return run.hold_read_at && now - *run.hold_read_at <= tuning.max_hold_age && !is_held;
+}
+
 double limit_share(const rollout_run& run, const rollout_tuning& tuning, double scheduled, bool promoted,
                    time_point now)
 {
@@ -127,7 +133,8 @@
     const double start = std::max({run.share, run.peer_share, tuning.trial_share});
     const duration ramp_time =
         scaled(run.order.time_limit, tuning.ramp_end_fraction - tuning.trial_end_fraction);
-    const duration elapsed = run.share_at == time_point{} ? duration{} : now - run.share_at;
+    const duration elapsed =
+        run.share_at == time_point{} ? duration{} : std::min(now - run.share_at, tuning.max_update_gap);
     if (elapsed >= ramp_time) {
         return allowed;
     }
@@ -195,6 +202,7 @@
     }
     const bool moved = run.share >= 1 && all_instances_moved;
     const bool may_complete =
+        !run.held_elsewhere &&
         elapsed_of(run, now) >= scaled(run.order.time_limit, tuning.completion_fraction);
     if (run.share >= 1 && ((moved && old_in_flight == 0) || (may_complete && old_in_flight == 0))) {
         return rollout_step::record_completed;
--- a/packages/decision/tests/steering_rollout_test.cpp
+++ b/packages/decision/tests/steering_rollout_test.cpp
@@ -291,3 +291,42 @@
     CHECK(next_step(run, tuning, std::nullopt, 5, false, start) == rollout_step::record_completed);
     CHECK(next_step(run, tuning, rollout_state::completed, 0, true, start) == rollout_step::none);
 }
+
+// Guards against an instance that completes a held version because its share jumps when it wakes from a
+// freeze.
+TEST_CASE("rollout pacer: the share does not make up for the time in which the process was suspended")
+{
+    const rollout_tuning tuning;
+    rollout_run run = make_run();
+    run.share = tuning.trial_share;
+    run.share_at = start + 9800ms;
+    const double scheduled = new_version_share(run, tuning, true, start + 13800ms);
+    CHECK(scheduled == 1);
+    CHECK(limit_share(run, tuning, scheduled, true, start + 13800ms) < 0.4);
+}
+
+TEST_CASE("rollout pacer: a version that another instance keeps at the share of the canary is not completed")
+{
+    const rollout_tuning tuning;
+    rollout_run run = make_run();
+    run.share = 1;
+    run.held_elsewhere = true;
+    CHECK(next_step(run, tuning, rollout_state::running, 0, false, start + 13s) == rollout_step::none);
+    run.held_elsewhere = false;
+    CHECK(next_step(run, tuning, rollout_state::running, 0, false, start + 13s) ==
+          rollout_step::record_completed);
+}
+
+TEST_CASE("rollout pacer: without a view of the fleet a hold is excluded by a recent read of this order only")
+{
+    const rollout_tuning tuning;
+    rollout_run run = make_run();
+    CHECK_FALSE(is_hold_excluded(run, tuning, start));
+    run.hold_read_at = start;
+    CHECK(is_hold_excluded(run, tuning, start + 1s));
+    CHECK_FALSE(is_hold_excluded(run, tuning, start + 5s)); // The process was suspended.
+    run.known_hold = {run.order.order_version, true, 12};
+    CHECK_FALSE(is_hold_excluded(run, tuning, start + 1s));
+    run.known_hold.order_version = 3; // Of an earlier order.
+    CHECK(is_hold_excluded(run, tuning, start + 1s));
+}
--- a/packages/edge/src/control.cpp
+++ b/packages/edge/src/control.cpp
@@ -54,11 +54,20 @@
     return state.tick_count >= settling_ticks && (has_others || is_single);
 }
 
+} // namespace
+
+bool sees_fleet(const control_state& state, time_point now)
+{
+    return is_settled(state) && steering::sees_half_of_fleet(state.fleet, now);
+}
+
+namespace {
+
 // Recomputed only when the targets or the live instances have changed, since it scores each target for each
 // instance.
 std::set<std::string> find_assigned_warmups(control_state& state, time_point now)
 {
-    if (!is_settled(state) || !steering::sees_half_of_fleet(state.fleet, now)) {
+    if (!sees_fleet(state, now)) {
         return {};
     }
     steering::task_candidates candidates = steering::live_candidates(state.fleet, now);
@@ -123,12 +132,12 @@
     if (state.notices.targets.empty()) {
         return;
     }
-    const bool sees_fleet = is_settled(state) && steering::sees_half_of_fleet(state.fleet, now);
+    const bool has_view = sees_fleet(state, now);
     const steering::task_candidates candidates = steering::live_candidates(state.fleet, now);
     for (const auto& [id, target] : state.targets) {
         if (const auto limit = steering::named_limit(state.notices, id, target.born_ms)) {
             const auto rank =
-                sees_fleet ? steering::candidate_rank(state.fleet, candidates, "limit/" + id) : std::nullopt;
+                has_view ? steering::candidate_rank(state.fleet, candidates, "limit/" + id) : std::nullopt;
             view.limit_shares[id] = steering::limit_share(*limit, rank);
         }
     }
@@ -160,7 +169,7 @@
             state.registered_instances.empty() ? assumed_instances : state.registered_instances.size();
         view.demand.possible = std::max(view.demand.possible, assumed);
     }
-    view.demand.is_isolated = !is_settled(state) || !steering::sees_half_of_fleet(state.fleet, now);
+    view.demand.is_isolated = !sees_fleet(state, now);
     const steering::load_report others = steering::sum_of_peer_reports(state.fleet, now);
     for (const steering::customer_demand& reported : others.demands) {
         view.demand.others[reported.customer] = reported.per_s;
--- a/packages/edge/src/control.hpp
+++ b/packages/edge/src/control.hpp
@@ -75,6 +75,7 @@
     bool snapshot_due = false;             ///< The targets and orders are to be read in full.
     steering::notice_table notices;        ///< Announced to any instance.
     bool rollout_write_pending = false;    ///< A rollout state is being written to the store.
+    bool hold_read_pending = false;        ///< The hold of a rollout is being read from the store.
     traffic_report report;                 ///< The latest one of the traffic thread.
     std::uint64_t status_sequence = 0;
     std::uint64_t tick_count = 0;
@@ -126,6 +127,10 @@
 /// Removes the pending targets whose grace period has ended.
 void finish_target_removals(control_state& state, time_point now);
 
+/// @return whether the view of the fleet is complete enough to decide on it: enough time has passed since the
+/// start, and half of the other instances are alive.
+bool sees_fleet(const control_state& state, time_point now);
+
 /// Stops rollouts of failing versions, advances the traffic share of the others, and starts the write of a
 /// rollout state that is due.
 void step_rollouts(control_state& state, time_point now);
--- a/packages/edge/src/control_rollouts.cpp
+++ b/packages/edge/src/control_rollouts.cpp
@@ -17,6 +17,11 @@
 // Time for a share to reach the traffic thread and for that thread's next report to arrive.
 constexpr duration report_settling_time = std::chrono::milliseconds(700);
 
+// Period at which an instance that does not see the fleet reads the hold of a rollout.
+constexpr duration hold_read_period = std::chrono::milliseconds(500);
+// Instances that record the same hold, so that it is recorded if one of them does not reach the store.
+constexpr std::size_t hold_recorders = 2;
+
 // Whether the store holds a final state for the order.
 bool is_finished(const control_state& state, const steering::rollout_order& order)
 {
@@ -257,37 +262,103 @@
     log_rollout_step(log_severity::warning, "rollout_stopped", run, cause, counts);
 }
 
-// Updates the share of the new version. An instance that does not see the fleet has too few answers to go by
-// and follows the schedule alone.
+// Reads whether the fleet holds the version, for an instance that does not see the fleet.
+asio::awaitable<void> read_hold(control_state& state, steering::rollout_order order)
+{
+    const time_point began_at = boot_now();
+    const std::optional<steering::rollout_hold> hold =
+        co_await platform::read_rollout_hold(state.read_client, order.service);
+    state.hold_read_pending = false;
+    const auto run = state.rollout_runs.find(order.service);
+    if (!hold || run == state.rollout_runs.end() || run->second.order.order_version != order.order_version) {
+        co_return;
+    }
+    run->second.known_hold = *hold;
+    run->second.hold_read_at = began_at;
+}
+
+// Records for instances that do not see the fleet whether it holds the version.
+asio::awaitable<void> write_hold(control_state& state, steering::rollout_order order, bool held)
+{
+    const platform::store_answer answer = co_await platform::write_rollout_hold(
+        state.write_client, order.service, {order.order_version, held, 0});
+    log_event(log_severity::info, "rollout_hold_write",
+              {{"service", order.service},
+               {"version", order.version},
+               {"held", held ? "true" : "false"},
+               {"outcome", std::string(platform::name_of(answer.status))}});
+}
+
+// Records a change of the hold, if that is this instance's task. Only what it recorded itself is released.
+void record_hold(control_state& state, steering::rollout_run& run, time_point now)
+{
+    const bool is_recorder =
+        steering::assignment_rank(state.fleet, "rollout/" + run.order.service, now) < hold_recorders;
+    if (is_recorder && run.held != run.hold_recorded && !run.stopped) {
+        run.hold_recorded = run.held;
+        asio::co_spawn(state.context, write_hold(state, run.order, run.held), asio::detached);
+    }
+}
+
+// Whether the version may get more than the share of the canary. An instance that does not see the fleet
+// cannot tell whether the others are gone or hold the version, so it asks the store.
+bool is_promoted(control_state& state, const steering::rollout_run& run, bool has_view,
+                 std::span<const steering::version_counts> counts, time_point now)
+{
+    const steering::rollout_tuning tuning;
+    if (!has_view && !state.hold_read_pending &&
+        (!run.hold_read_at || now - *run.hold_read_at >= hold_read_period)) {
+        state.hold_read_pending = true;
+        asio::co_spawn(state.context, read_hold(state, run.order), asio::detached);
+    }
+    return (has_view || steering::is_hold_excluded(run, tuning, now)) &&
+           steering::may_promote(counts, run.order, tuning, now - run.first_seen);
+}
+
+// Updates the share of the new version.
 void update_share(control_state& state, steering::rollout_run& run,
                   std::span<const steering::version_counts> counts, time_point now)
 {
     const steering::rollout_tuning tuning;
-    const bool sees_fleet = steering::sees_half_of_fleet(state.fleet, now);
-    const bool promoted =
-        !sees_fleet || steering::may_promote(counts, run.order, tuning, now - run.first_seen);
+    const bool has_view = sees_fleet(state, now);
     const double scheduled = steering::new_version_share(
         run, tuning, has_targets(state, run.order.service, run.order.version), now);
+    const bool promoted = scheduled <= tuning.trial_share || is_promoted(state, run, has_view, counts, now);
     const double previous_share = run.share;
     run.share = steering::limit_share(run, tuning, scheduled, promoted, now);
     run.share_at = now;
     const bool held = !promoted && scheduled > tuning.trial_share;
     if (held != run.held) {
         run.held = held;
-        log_rollout_step(log_severity::info, held ? "rollout_held" : "rollout_released", run, "good_answers",
-                         counts);
+        log_rollout_step(log_severity::info, held ? "rollout_held" : "rollout_released", run,
+                         has_view ? "good_answers" : "fleet_unseen", counts);
+    }
+    if (has_view) {
+        record_hold(state, run, now);
     }
     if (run.share >= 1 && previous_share < 1) {
         run.moved_at = now;
         log_rollout_step(log_severity::info, "rollout_moved", run, "schedule", counts);
     }
-    if (sees_fleet && !run.stopped && steering::is_out_of_time(run, tuning, now)) {
+    if (has_view && !run.stopped && steering::is_out_of_time(run, tuning, now)) {
         stop_run(run, "not_proven_in_time", counts);
     }
 }
 
+// The hold that the completion of a rollout relies on: that of the store, if this instance does not see the
+// fleet.
+std::optional<platform::rollout_hold_row> hold_relied_on(const control_state& state,
+                                                         const steering::rollout_run& run, time_point now)
+{
+    if (run.completed || sees_fleet(state, now)) {
+        return std::nullopt;
+    }
+    return platform::rollout_hold_row{run.order.service, run.known_hold.record_version};
+}
+
 asio::awaitable<void> write_rollout_state(control_state& state, steering::rollout_order order,
-                                          steering::rollout_state wanted)
+                                          steering::rollout_state wanted,
+                                          std::optional<platform::rollout_hold_row> hold)
 {
     const std::string key = platform::rollout_state_key(order.service);
     const steering::record* stored =
@@ -298,9 +369,9 @@
         steering::era_of(last_state->second.record_version) == state.store_era) {
         expected = std::max(expected, last_state->second.record_version);
     }
-    platform::store_answer answer =
-        co_await platform::write_record(state.write_client, steering::collection::rollout_states, key,
-                                        platform::encode_rollout_state(order, wanted), expected);
+    platform::store_answer answer = co_await platform::write_record(
+        state.write_client, steering::collection::rollout_states, key,
+        platform::encode_rollout_state(order, wanted), expected, std::move(hold));
     log_event(log_severity::info, "rollout_state_write",
               {{"service", order.service},
                {"version", order.version},
@@ -347,6 +418,7 @@
     }
     const steering::rollout_progress* reported = progress_in(others, run.order);
     run.peer_share = reported == nullptr ? 0 : reported->share;
+    run.held_elsewhere = reported != nullptr && reported->share <= tuning.trial_share;
     update_share(state, run, counts, now);
     const std::uint64_t old_in_flight =
         own_old_in_flight(state, run.order) + (reported == nullptr ? 0 : reported->old_in_flight);
@@ -366,7 +438,9 @@
         steering::assignment_rank(state.fleet, "rollout/" + run.order.service, now));
     if (!state.rollout_write_pending && now - run.due_since >= write_takeover_delay * rank) {
         state.rollout_write_pending = true;
-        asio::co_spawn(state.context, write_rollout_state(state, run.order, *wanted), asio::detached);
+        const auto hold =
+            *wanted == steering::rollout_state::completed ? hold_relied_on(state, run, now) : std::nullopt;
+        asio::co_spawn(state.context, write_rollout_state(state, run.order, *wanted, hold), asio::detached);
     }
 }
 
--- a/packages/edge/tests/edge_rollout_test.cpp
+++ b/packages/edge/tests/edge_rollout_test.cpp
@@ -39,6 +39,21 @@
     }
 
     void stop() { running.reset(); }
+
+    // Registers instances that are never heard of, so that this one does not see its fleet.
+    void register_silent_instances()
+    {
+        for (const char* name : {"silent-1", "silent-2", "silent-3"}) {
+            const std::string address = local_ip() + ":" + std::to_string(free_port());
+            standins::put_row(*store, "instances", name,
+                              R"({"failure_domain":"rvk-b","region":"reykjavik","front":")" + address +
+                                  R"(","peers":")" + address + R"("})");
+        }
+    }
+
+    std::string rollout_state() { return standins::row_value(*store, "status", "rollout/desk"); }
+    bool is_completed() { return rollout_state().find("completed") != std::string::npos; }
+    std::string recorded_hold() { return standins::row_value(*store, "rollout_holds", "desk"); }
 };
 
 std::size_t received_count(standins::server_standin& server)
@@ -136,3 +151,54 @@
     CHECK(total > 50);
     CHECK(static_cast<double>(exposed) <= max_exposure * static_cast<double>(total) + exposure_slack);
 }
+
+// Guards against an instance that is cut off from the others, or wakes from a freeze, and completes a version
+// that they hold at the share of the canary.
+TEST_CASE(
+    "edge rollout: an instance that does not see the fleet does not complete a version that the fleet holds")
+{
+    versioned_fixture fixture;
+    fixture.register_silent_instances();
+    standins::server_standin& old_server = fixture.add_version("i-1", "v1", 100, 5);
+    fixture.start();
+    standins::server_standin& canary = fixture.add_version("i-2", "v2", 200, 5);
+    fixture.order_rollout("v2", 5);
+    standins::put_row(*fixture.store, "rollout_holds", "desk",
+                      R"({"order":)" + std::to_string(fixture.store->newest) + R"(,"held":true})");
+    REQUIRE(fixture.has_rollout_state());
+    press(fixture, 2, 6s);
+    const std::size_t total = received_count(old_server) + received_count(canary);
+    CAPTURE(total, received_count(canary), fixture.rollout_state());
+    CHECK(received_count(canary) > 0);
+    CHECK(static_cast<double>(received_count(canary)) <=
+          max_exposure * static_cast<double>(total) + exposure_slack);
+    CHECK_FALSE(fixture.is_completed());
+}
+
+// Guards against a rollout that stays open because all instances but one were lost for good.
+TEST_CASE("edge rollout: the only instance that is left completes a good version in its time")
+{
+    versioned_fixture fixture;
+    fixture.register_silent_instances();
+    fixture.add_version("i-1", "v1", 100, 5);
+    fixture.start();
+    fixture.add_version("i-2", "v2", 200, 5);
+    fixture.order_rollout("v2", 6);
+    REQUIRE(fixture.has_rollout_state());
+    press(fixture, 2, 6s);
+    CAPTURE(fixture.rollout_state());
+    CHECK(fixture.is_completed());
+}
+
+TEST_CASE("edge rollout: a version that is held is recorded for instances that do not see the fleet")
+{
+    versioned_fixture fixture;
+    fixture.add_version("i-1", "v1", 100, 20);
+    fixture.start();
+    fixture.add_version("i-2", "v2", 200, 2000);
+    fixture.order_rollout("v2", 8);
+    REQUIRE(fixture.has_rollout_state());
+    press(fixture, 4, 6s, 150ms); // No caller waits for the answers of the new version.
+    CAPTURE(fixture.recorded_hold());
+    CHECK(fixture.recorded_hold().find(R"("held":true)") != std::string::npos);
+}
