Crash verdicts: the end of a target counts at an instance that has had no answer of the version

Callers saw: a request that ends its targets was never refused at an instance that got no other request of the service, nor anywhere if the service got nothing else; other requests at these targets were lost each time.

Cause: an end was not stored unless the instance itself had had an answer of the version within a minute.

Change: ends are stored without that. What the condition protected, a version that ends under everything, is decided where the evidence of all instances is: between two ends with no known answer, an end without the request makes the second one say nothing. The last answer is that of any instance that reported the end. An end seen while cut off blocks for a minute at most.

Ends in the older tests of verdicts now carry the answer that the condition used to guarantee.

Two fatal requests that alternate at a service without other traffic are not refused: open.

--- a/packages/decision/include/camphorknot/steering/crash_verdicts.hpp
+++ b/packages/decision/include/camphorknot/steering/crash_verdicts.hpp
@@ -38,8 +38,8 @@
     std::int64_t born_ms = 0; ///< As in target::born_ms.
     time_point sent_at{};
     time_point ended_at{};
-    /// Last answer of the version that the instance which noticed the end had seen by then; none if an
-    /// earlier version reported the end.
+    /// Last answer of the version that the instance which noticed the end had seen by then; none if it had
+    /// seen none.
     std::optional<time_point> version_answered_at{};
     std::string failure_domain{}; ///< Of the target; empty if an earlier version reported the end.
 };
--- a/packages/decision/include/camphorknot/steering/version_history.hpp
+++ b/packages/decision/include/camphorknot/steering/version_history.hpp
@@ -1,6 +1,6 @@
 /// @file
-/// What an instance has seen of a version of a service: whether the end of a target says something about the
-/// requests that ran there, or the version or its surroundings are at fault.
+/// What an instance has seen of a version of a service: whether the end of a target may say something about
+/// the requests that ran there, or this instance may be cut off.
 #pragma once
 
 #include <optional>
@@ -22,8 +22,9 @@
 /// @param others_reachable whether another target could be reached then.
 void on_target_ended(version_history& history, bool others_reachable, time_point now);
 
-/// @return whether the end of a target may be due to a request that ran there. It may not if the version has
-/// not answered anything for @p max_answer_age, or not since an end while no other target could be reached.
-bool may_blame_requests(const version_history& history, duration max_answer_age, time_point now);
+/// @return whether the end of a target may be due to a request that ran there. It may not for @p
+/// isolation_time after an end while no other target could be reached, unless the version has answered
+/// something since.
+bool may_blame_requests(const version_history& history, duration isolation_time, time_point now);
 
 } // namespace camphorknot::steering
--- a/packages/decision/src/steering/crash_verdicts.cpp
+++ b/packages/decision/src/steering/crash_verdicts.cpp
@@ -42,9 +42,28 @@
     return ends;
 }
 
+// The last answer of the version before each end, as far as any instance has seen one. What one instance has
+// not seen may be known to another that lost a request at the same end.
+using version_answers = std::map<target_incarnation, time_point>;
+
+version_answers collect_answers(const crash_table& table)
+{
+    version_answers answers;
+    for (const auto& [key, suspect] : table.suspects) {
+        for (const ended_run& run : suspect.runs) {
+            if (run.version_answered_at) {
+                const auto [place, is_new] = answers.emplace(incarnation_of(run), *run.version_answered_at);
+                place->second = std::max(place->second, *run.version_answered_at);
+            }
+        }
+    }
+    return answers;
+}
+
 // What the search for the next verdict knows of the ends.
 struct end_context {
     target_ends ends;
+    version_answers answers;
     std::set<target_incarnation> explained; // By requests that are condemned already.
 };
 
@@ -77,12 +96,13 @@
     return count.all >= tuning.min_batch && 2 * count.own < count.all;
 }
 
-// Whether targets ended without the request as well, and none answered anything, between two of its runs.
-// Then the second says nothing.
+// Whether targets ended without the request as well, and none is known to have answered anything, between two
+// of its runs. Then the second says nothing.
 bool is_in_outage(const crash_tuning& tuning, const end_context& context, const crash_suspect& suspect,
                   const ended_run& before, const ended_run& run)
 {
-    if (!run.version_answered_at || *run.version_answered_at > before.ended_at) {
+    const auto answered = context.answers.find(incarnation_of(run));
+    if (answered != context.answers.end() && answered->second > before.ended_at) {
         return false;
     }
     const end_count count = count_ends(context, suspect, before.ended_at - tuning.batch_window,
@@ -218,7 +238,7 @@
         suspect.condemned_from = time_point{};
         suspect.condemned_until = time_point{};
     }
-    end_context context{collect_ends(table), {}};
+    end_context context{collect_ends(table), collect_answers(table), {}};
     while (true) {
         const auto [entry, found] = find_next_verdict(table, context);
         if (entry == nullptr) {
--- a/packages/decision/tests/steering_crash_verdicts_test.cpp
+++ b/packages/decision/tests/steering_crash_verdicts_test.cpp
@@ -17,11 +17,20 @@
     return {{request, request, request}, "desk", version};
 }
 
-ended_run run_at(const std::string& target, duration sent, duration ended)
+// A run of which nothing is known but that the target ended.
+ended_run unanswered_run_at(const std::string& target, duration sent, duration ended)
 {
     return {target, 1, start + sent, start + ended};
 }
 
+// A run at a version that answers other requests.
+ended_run run_at(const std::string& target, duration sent, duration ended)
+{
+    ended_run run = unanswered_run_at(target, sent, ended);
+    run.version_answered_at = run.sent_at;
+    return run;
+}
+
 bool is_condemned(const crash_table& table, const suspect_key& key, duration at)
 {
     return standing_of(table, key, start + at) == crash_standing::condemned;
@@ -432,3 +441,51 @@
     CHECK(crash_reports(table, start + 2s, 10, start + 3s).size() == 1);
     CHECK(crash_reports(table, start + 3s, 10, start + 5s).empty());
 }
+
+// Guards against a fatal request that is never refused because its service gets nothing else.
+TEST_CASE("crash verdicts: the only request of a version that has never answered is condemned")
+{
+    crash_table table;
+    for (int number = 0; number < 3; ++number) {
+        const auto sent = std::chrono::seconds(number);
+        on_run_ended(table, key_of(1), unanswered_run_at("t" + std::to_string(number), sent, sent + 500ms),
+                     start + sent + 500ms);
+    }
+    CHECK(is_condemned(table, key_of(1), 3s));
+}
+
+TEST_CASE("crash verdicts: a version that ends under all requests and answers none condemns none of them")
+{
+    crash_table table;
+    for (int number = 0; number < 12; ++number) {
+        const auto sent = std::chrono::seconds(number);
+        on_run_ended(table, key_of(static_cast<std::uint64_t>(number) % 3),
+                     unanswered_run_at("t" + std::to_string(number), sent, sent + 500ms),
+                     start + sent + 500ms);
+    }
+    for (const std::uint64_t request : {0U, 1U, 2U}) {
+        CHECK_FALSE(is_condemned(table, key_of(request), 13s));
+    }
+}
+
+// Guards against evidence that is lost at an instance which gets no other request of the service.
+TEST_CASE("crash verdicts: an answer that another instance has seen shows that the version works")
+{
+    for (const bool is_answer_known : {false, true}) {
+        crash_table table;
+        for (int number = 0; number < 3; ++number) {
+            const auto sent = std::chrono::seconds(2 * number);
+            const std::string target = "t" + std::to_string(number);
+            on_run_ended(table, key_of(1), unanswered_run_at(target, sent, sent + 500ms),
+                         start + sent + 500ms);
+            // Another instance loses a request at the same target, and one at another target in between.
+            const auto beside = static_cast<std::uint64_t>(10 + 2 * number);
+            const auto reported = is_answer_known ? run_at : unanswered_run_at;
+            on_run_ended(table, key_of(beside), reported(target, sent, sent + 500ms), start + sent + 500ms);
+            on_run_ended(table, key_of(beside + 1),
+                         reported("u" + std::to_string(number), sent + 800ms, sent + 1200ms),
+                         start + sent + 1200ms);
+        }
+        CHECK(is_condemned(table, key_of(1), 6s) == is_answer_known);
+    }
+}
--- a/packages/edge/src/relay_crashes.cpp
+++ b/packages/edge/src/relay_crashes.cpp
@@ -15,8 +15,8 @@
 constexpr duration probe_timeout = std::chrono::milliseconds(500);
 // Targets that are tried to find out whether this instance reaches any.
 constexpr std::size_t max_reference_targets = 4;
-// An end counts only if a target of the same version has answered a request within this time.
-constexpr duration version_answer_age = std::chrono::seconds(60);
+// After an end while no target could be reached, further ends count only after an answer or this time.
+constexpr duration isolation_time = std::chrono::seconds(60);
 // A longer time between ticks means that the process was suspended.
 constexpr duration suspension_gap = std::chrono::seconds(1);
 
@@ -141,7 +141,7 @@
     const time_point now = boot_now();
     steering::version_history& version = state.crashes.versions[{target.service, target.version}];
     steering::on_target_ended(version, others_reachable, now);
-    if (!others_reachable || !steering::may_blame_requests(version, version_answer_age, now)) {
+    if (!others_reachable || !steering::may_blame_requests(version, isolation_time, now)) {
         co_return;
     }
     for (const lost_run& run : runs) {
--- a/packages/edge/tests/edge_crash_test.cpp
+++ b/packages/edge/tests/edge_crash_test.cpp
@@ -323,3 +323,81 @@
 {
     check_batches_condemn_nothing({"rvk-a", "rvk-b"});
 }
+
+namespace {
+
+/// The service "vault" on servers of its own, beside the service of the fixture.
+struct second_service_fixture : crash_fixture {
+    second_service_fixture() : crash_fixture(2, 2)
+    {
+        for (auto& server : servers) {
+            standins::set_crash_marker(*server, "");
+        }
+        for (int number = 1; number <= 4; ++number) {
+            servers.push_back(standins::start_server(local_ip(), "v-" + std::to_string(number)));
+            standins::server_standin* server = servers.back().get();
+            server->on_restart = [this, server] { register_in_vault(*server); };
+            standins::set_crash_marker(*server, "fatal");
+            register_in_vault(*server);
+        }
+        standins::put_row(
+            *store, "op", "config",
+            configuration_row(2, one_customer +
+                                     R"({"resource_kind":"routes","metadata":{"name":"vault"},"spec":{
+            "host":"seals.example","prefix":"/vault/","route_type":"safe","timeout_s":1.0,"target_latency_s":0.6,
+            "priority":2,"service":"vault","max_attempts":2}},
+            {"resource_kind":"services","metadata":{"name":"vault"},"spec":{"health_path":"/health","max_conns":100}},)"));
+        std::this_thread::sleep_for(2s);
+    }
+
+    void register_in_vault(standins::server_standin& server)
+    {
+        standins::put_row(*store, "servers", server.id,
+                          standins::server_row("vault", local_ip() + ":" + std::to_string(server.port),
+                                               "rvk-a", "v1", "ready", 0, 100 + server.crashes));
+    }
+
+    /// Sends the request once in 300 ms, at one instance or at all in turn.
+    void send_fatal(std::chrono::milliseconds time, bool at_all)
+    {
+        const auto end = clock_type::now() + time;
+        for (std::size_t number = 0; clock_type::now() < end; ++number) {
+            const std::size_t instance = at_all ? number % all_settings.size() : 0;
+            caller(all_settings.at(instance).front.port)
+                .ask(make_request(http::verb::get, "/vault/fatal", "f" + std::to_string(number)));
+            std::this_thread::sleep_for(300ms);
+        }
+    }
+};
+
+} // namespace
+
+// Guards against a fatal request that is never refused because its service gets nothing else.
+TEST_CASE("edge crash: the only request of a service, which ends its targets, reaches few of them")
+{
+    const bool at_all = GENERATE(false, true);
+    second_service_fixture fixture;
+    fixture.send_fatal(8s, at_all);
+    CHECK(fixture.arrivals_of("fatal").size() >= 3);
+    CHECK(fixture.later_sends_of("fatal") <= max_later_sends);
+}
+
+// Guards against evidence that is thrown away at an instance which gets no other request of the service.
+TEST_CASE("edge crash: a fatal request is refused at an instance that gets no other request of the service")
+{
+    second_service_fixture fixture;
+    std::atomic<bool> running{true};
+    std::thread other([&] {
+        for (int number = 0; running; ++number) {
+            caller(fixture.all_settings.at(1).front.port)
+                .ask(make_request(http::verb::get, "/vault/" + std::to_string(number % 8),
+                                  "o" + std::to_string(number)));
+            std::this_thread::sleep_for(20ms);
+        }
+    });
+    fixture.send_fatal(8s, false);
+    running = false;
+    other.join();
+    CHECK(fixture.arrivals_of("fatal").size() >= 3);
+    CHECK(fixture.later_sends_of("fatal") <= max_later_sends);
+}
