Rollouts: only answers since the order count

Callers saw: a service that was ordered back to a version which had run before, and had become bad, sent it all requests; half failed.

Cause: answers were summed since the start of the process, so that thousands of good ones from before the order hid the failures since, and stood for the good ones that a promotion needs.

Change: an instance starts the counts of a service anew when it sees a rollout begin. They carry the version of the order; those of another order are left out. Reports of earlier builds lack the field: what they counted before the order is subtracted.

--- a/packages/decision/include/camphorknot/steering/fleet.hpp
+++ b/packages/decision/include/camphorknot/steering/fleet.hpp
@@ -18,7 +18,7 @@
 
 namespace camphorknot::steering {
 
-/// Outcomes of the requests to one version of a service on one route, since the process started.
+/// Outcomes of the requests to one version of a service on one route.
 struct version_counts {
     std::string service{};
     std::string version{};
@@ -28,6 +28,9 @@
     std::uint64_t failing_answers = 0;
     std::uint64_t unanswered = 0; ///< Their callers left before an answer was due.
     std::uint64_t sent = 0;       ///< Including those that are in flight or were rejected.
+    /// They count since the start of the rollout with this order; 0 if since the start of the process, as in
+    /// the reports of earlier builds.
+    std::uint64_t order_version = 0;
 };
 
 /// Progress of a running rollout at one instance, or combined over the instances of a failure domain.
--- a/packages/decision/include/camphorknot/steering/rollout_pacer.hpp
+++ b/packages/decision/include/camphorknot/steering/rollout_pacer.hpp
@@ -66,8 +66,10 @@
     time_point first_seen{};
     duration peer_elapsed{}; ///< Longest elapsed time reported by another instance, at `peer_elapsed_at`.
     time_point peer_elapsed_at{};
-    bool stopped = false;                     ///< The new version was found to be failing.
-    bool completed = false;                   ///< Recorded as completed, in a record that the store has lost.
+    bool stopped = false;   ///< The new version was found to be failing.
+    bool completed = false; ///< Recorded as completed, in a record that the store has lost.
+    /// Counts of earlier builds when this instance first saw the order; none before that.
+    std::optional<std::vector<version_counts>> counts_before{};
     double share = 0;                         ///< Share of this instance's traffic that the new version gets.
     time_point share_at{};                    ///< When `share` was updated.
     double peer_share = 0;                    ///< Smallest share at the other instances.
@@ -91,6 +93,12 @@
 /// @return time since any instance first received the order.
 duration elapsed_of(const rollout_run& run, time_point now);
 
+/// The counts that say something about a rollout: those since its order. From those that count since the
+/// start of a process, what they were at the first call for the run is subtracted.
+/// @param reported counts of all instances.
+/// @return the counts of the service of @p run.
+std::vector<version_counts> counts_since_order(rollout_run& run, std::span<const version_counts> reported);
+
 /// @return whether the new version fails significantly more often than the old one on any route.
 bool is_failing_version(std::span<const version_counts> counts, const rollout_order& order,
                         const rollout_tuning& tuning);
--- a/packages/decision/src/steering/fleet_reports.cpp
+++ b/packages/decision/src/steering/fleet_reports.cpp
@@ -33,7 +33,7 @@
     std::map<std::string, customer_demand> demands;
     std::map<std::string, target_in_flight> in_flight;
     std::map<std::pair<std::string, std::uint64_t>, rollout_progress> rollouts;
-    std::map<std::tuple<std::string, std::string, std::string>, version_counts> counts;
+    std::map<std::tuple<std::string, std::string, std::string, std::uint64_t>, version_counts> counts;
     std::map<std::string, target_notice> notices;
     float requests_per_s = 0;
 };
@@ -61,7 +61,9 @@
         add_rollout);
     add_all(
         sums.counts, std::span(report.counts),
-        [](const auto& counts) { return std::tuple(counts.service, counts.version, counts.route); },
+        [](const auto& counts) {
+            return std::tuple(counts.service, counts.version, counts.route, counts.order_version);
+        },
         [](auto& sum, const auto& counts) {
             sum.answers += counts.answers;
             sum.failing_answers += counts.failing_answers;
--- a/packages/decision/src/steering/rollout_pacer.cpp
+++ b/packages/decision/src/steering/rollout_pacer.cpp
@@ -43,6 +43,24 @@
     return difference >= thresholds.min_difference && difference >= thresholds.min_standard_errors * error;
 }
 
+// A sum that has become smaller lacks an instance that was counted before; what is left of it counts.
+void subtract_earlier(version_counts& entry, std::span<const version_counts> earlier)
+{
+    const auto known = std::ranges::find_if(earlier, [&](const version_counts& other) {
+        return other.version == entry.version && other.route == entry.route;
+    });
+    if (known == earlier.end() || known->sent > entry.sent) {
+        return;
+    }
+    const auto subtract = [](std::uint64_t& value, std::uint64_t before) {
+        value -= std::min(value, before);
+    };
+    subtract(entry.answers, known->answers);
+    subtract(entry.failing_answers, known->failing_answers);
+    subtract(entry.unanswered, known->unanswered);
+    subtract(entry.sent, known->sent);
+}
+
 // Whether the new version is worse than the old one on any route.
 bool is_worse_on_any_route(std::span<const version_counts> counts, const rollout_order& order,
                            const comparison_thresholds& thresholds, bool unanswered_is_failing)
@@ -79,6 +97,31 @@
            (since_new_era && *since_new_era < rewrite_time);
 }
 
+std::vector<version_counts> counts_since_order(rollout_run& run, std::span<const version_counts> reported)
+{
+    std::vector<version_counts> since_order;
+    std::vector<version_counts> since_start;
+    for (const version_counts& entry : reported) {
+        if (entry.service != run.order.service) {
+            continue;
+        }
+        if (entry.order_version == 0) {
+            since_start.push_back(entry);
+        } else if (entry.order_version == run.order.order_version ||
+                   era_of(entry.order_version) != era_of(run.order.order_version)) {
+            since_order.push_back(entry); // An order of another era is the same one, written again.
+        }
+    }
+    if (!run.counts_before) {
+        run.counts_before = since_start;
+    }
+    for (version_counts& entry : since_start) {
+        subtract_earlier(entry, *run.counts_before);
+        since_order.push_back(std::move(entry));
+    }
+    return since_order;
+}
+
 duration elapsed_of(const rollout_run& run, time_point now)
 {
     const duration own = now - run.first_seen;
--- a/packages/decision/tests/steering_rollout_test.cpp
+++ b/packages/decision/tests/steering_rollout_test.cpp
@@ -330,3 +330,42 @@
     run.known_hold.order_version = 3; // Of an earlier order.
     CHECK(is_hold_excluded(run, tuning, start + 1s));
 }
+
+// Guards against good answers from before an order that hide the failures since.
+TEST_CASE("rollout pacer: only answers since the order count")
+{
+    const rollout_tuning tuning;
+    rollout_run run = make_run();
+    const auto with_order = [](version_counts counts, std::uint64_t order) {
+        counts.order_version = order;
+        return counts;
+    };
+    // An instance that does not know the order yet, one that does, and one of an earlier build.
+    const std::vector<version_counts> before = {with_order(make_counts("v2", "find", 5000, 0), 3),
+                                                make_counts("v2", "find", 4000, 0),
+                                                make_counts("v1", "find", 4000, 0)};
+    CHECK(counts_since_order(run, before).size() == 2);
+    const std::vector<version_counts> later = {
+        with_order(make_counts("v2", "find", 5000, 0), 3), with_order(make_counts("v2", "find", 10, 5), 7),
+        with_order(make_counts("v1", "find", 200, 0), 7), make_counts("v2", "find", 4010, 5),
+        make_counts("v1", "find", 4200, 0)};
+    CHECK_FALSE(is_failing_version(later, run.order, tuning));
+    const std::vector<version_counts> counted = counts_since_order(run, later);
+    CHECK(is_failing_version(counted, run.order, tuning));
+    CHECK_FALSE(may_promote(counted, run.order, tuning, 8s));
+    // The instance of the earlier build starts again.
+    const std::vector<version_counts> restarted = {make_counts("v2", "find", 20, 1)};
+    REQUIRE(counts_since_order(run, restarted).size() == 1);
+    CHECK(counts_since_order(run, restarted).front().answers == 20);
+}
+
+TEST_CASE("rollout pacer: counts of an order that is written again in a new era go on")
+{
+    rollout_run run = make_run();
+    run.order.order_version = make_version(1, 5);
+    version_counts earlier_era = make_counts("v2", "find", 10, 5);
+    earlier_era.order_version = 7;
+    CHECK(counts_since_order(run, std::vector{earlier_era}).size() == 1);
+    earlier_era.order_version = make_version(1, 4);
+    CHECK(counts_since_order(run, std::vector{earlier_era}).empty());
+}
--- a/packages/edge/src/control_rollouts.cpp
+++ b/packages/edge/src/control_rollouts.cpp
@@ -410,8 +410,9 @@
 // Advances one rollout: stops it if its version is failing, else updates its traffic share, and starts the
 // write of a rollout state that is due.
 void step_run(control_state& state, steering::rollout_run& run, const steering::load_report& others,
-              std::span<const steering::version_counts> counts, time_point now)
+              std::span<const steering::version_counts> reported_counts, time_point now)
 {
+    const std::vector<steering::version_counts> counts = steering::counts_since_order(run, reported_counts);
     const steering::rollout_tuning tuning;
     if (!run.stopped && steering::is_failing_version(counts, run.order, tuning)) {
         stop_run(run, "bad_answers", counts);
@@ -500,6 +501,8 @@
         if (run != state.rollout_runs.end()) {
             rule.next = run->second.order.version;
             rule.next_share = run->second.share;
+            rule.order_version = run->second.order.order_version;
+            rule.run_started_at = run->second.first_seen;
         }
         rules[service.name] = rule;
     }
--- a/packages/edge/src/traffic.cpp
+++ b/packages/edge/src/traffic.cpp
@@ -58,6 +58,7 @@
         const auto rule = state.view.versions.find(counts_of_version.service);
         if (rule != state.view.versions.end() && !rule->second.next.empty()) {
             report.load.counts.push_back(counts_of_version);
+            report.load.counts.back().order_version = rule->second.order_version;
         }
     }
     steering::forget_old_notices(state.notices, now);
@@ -150,11 +151,25 @@
     return assigned == state.view.limit_shares.end() ? 0 : assigned->second;
 }
 
+// What a version answered before a rollout began says nothing about its targets of today.
+void reset_counts(traffic_state& state, const std::map<std::string, version_rule>& incoming)
+{
+    for (const auto& [service, rule] : incoming) {
+        const auto known = state.view.versions.find(service);
+        const bool is_known =
+            known != state.view.versions.end() && known->second.run_started_at == rule.run_started_at;
+        if (!rule.next.empty() && !is_known) {
+            std::erase_if(state.counts, [&](const auto& entry) { return entry.second.service == service; });
+        }
+    }
+}
+
 void apply_view(traffic_state& state, traffic_view view)
 {
     const time_point now = boot_now();
     const bool routes_changed = view.routes != state.view.routes;
     const bool targets_changed = view.targets != state.view.targets || routes_changed;
+    reset_counts(state, view.versions);
     state.view = std::move(view);
     if (state.view.routes == nullptr) {
         return;
--- a/packages/edge/src/views.hpp
+++ b/packages/edge/src/views.hpp
@@ -14,9 +14,11 @@
 
 /// Versions of a service's targets that may receive requests.
 struct version_rule {
-    std::string current;   ///< Empty for any.
-    std::string next;      ///< Version under rollout; empty without one.
-    double next_share = 0; ///< Fraction of the requests that go to the next version, 0 to 1.
+    std::string current;             ///< Empty for any.
+    std::string next;                ///< Version under rollout; empty without one.
+    double next_share = 0;           ///< Fraction of the requests that go to the next version, 0 to 1.
+    std::uint64_t order_version = 0; ///< Of the rollout; it changes when the store's era rises.
+    time_point run_started_at{};     ///< When this instance started the rollout.
 };
 
 /// Sent from the control thread to the traffic thread.
--- a/packages/edge/tests/edge_rollout_test.cpp
+++ b/packages/edge/tests/edge_rollout_test.cpp
@@ -202,3 +202,30 @@
     CAPTURE(fixture.recorded_hold());
     CHECK(fixture.recorded_hold().find(R"("held":true)") != std::string::npos);
 }
+
+// Guards against a version that ran before and has become bad: its good answers of old hide the failures.
+TEST_CASE("edge rollout: a version that ran before and fails now is rolled back")
+{
+    versioned_fixture fixture;
+    fixture.add_version("i-1", "v1", 100, 1);
+    fixture.start();
+    press(fixture, 4, 3s);
+    standins::server_standin& second = fixture.add_version("i-2", "v2", 200, 1);
+    fixture.order_rollout("v2", 4);
+    press(fixture, 4, 4s);
+    REQUIRE(fixture.is_completed());
+    standins::drop_row(*fixture.store, "servers", "i-1");
+    std::this_thread::sleep_for(1s);
+    standins::server_standin& third = fixture.add_version("i-3", "v1", 300, 1);
+    third.default_behavior = standins::server_behavior::fail;
+    const std::size_t before = received_count(second);
+    fixture.order_rollout("v1", 6);
+    press(fixture, 4, 6s);
+    const std::size_t total = received_count(second) - before + received_count(third);
+    CAPTURE(total, received_count(third), fixture.rollout_state());
+    CHECK(total > 100);
+    CHECK(received_count(third) > 0);
+    CHECK(static_cast<double>(received_count(third)) <=
+          max_exposure * static_cast<double>(total) + exposure_slack);
+    CHECK(fixture.rollout_state().find("rolled_back") != std::string::npos);
+}
