Rollouts: two failures among the few answers of a rarely used service hold its new version

Cause: a version that gets few requests is promoted without good answers, and the doubt that holds it wants three failures.

Change: as long as it lacks the good answers, two failures hold it, if they are 15 points and 1.5 standard errors above the old version.

--- a/packages/decision/include/camphorknot/steering/rollout_pacer.hpp
+++ b/packages/decision/include/camphorknot/steering/rollout_pacer.hpp
@@ -30,6 +30,10 @@
     double slow_factor = 4;
     /// Good answers of the new version, over the fleet, that it needs for more than the share of the canary.
     std::uint64_t min_good_answers = 10;
+    /// Failing answers that make a version doubtful as long as it lacks the good ones.
+    std::uint64_t min_early_doubtful_answers = 2;
+    double min_early_doubtful_difference = 0.15;
+    double min_early_doubtful_standard_errors = 1.5;
     /// Requests that the new version may get without them, so that a service with few requests moves in time.
     std::uint64_t unproven_requests = 25;
     /// Time since the start of the run after which the counts show how many requests the service gets.
--- a/packages/decision/src/steering/rollout_pacer.cpp
+++ b/packages/decision/src/steering/rollout_pacer.cpp
@@ -156,8 +156,14 @@
             sent += entry.sent;
         }
     }
+    if (good_answers >= tuning.min_good_answers) {
+        return true;
+    }
+    const comparison_thresholds early = {tuning.min_early_doubtful_answers,
+                                         tuning.min_early_doubtful_difference,
+                                         tuning.min_early_doubtful_standard_errors};
     const bool gets_few_requests = sent < tuning.unproven_requests && observed >= tuning.min_observation;
-    return good_answers >= tuning.min_good_answers || gets_few_requests;
+    return gets_few_requests && !is_worse_on_any_route(counts, order, early, false);
 }
 
 bool is_hold_excluded(const rollout_run& run, const rollout_tuning& tuning, time_point now)
--- a/packages/decision/tests/steering_rollout_test.cpp
+++ b/packages/decision/tests/steering_rollout_test.cpp
@@ -369,3 +369,18 @@
     earlier_era.order_version = make_version(1, 4);
     CHECK(counts_since_order(run, std::vector{earlier_era}).empty());
 }
+
+// Guards against a version that is promoted for lack of requests although half of its few answers failed.
+TEST_CASE("rollout pacer: of a service with few requests, two failures among few answers hold the version")
+{
+    const rollout_tuning tuning;
+    const rollout_run run = make_run();
+    const std::vector<version_counts> failing = {make_sends("v1", 47, 3, 0), make_sends("v2", 4, 2, 0)};
+    CHECK_FALSE(is_failing_version(failing, run.order, tuning));
+    CHECK_FALSE(may_promote(failing, run.order, tuning, 8s));
+    const std::vector<version_counts> one_failure = {make_sends("v1", 47, 3, 0), make_sends("v2", 4, 1, 0)};
+    CHECK(may_promote(one_failure, run.order, tuning, 8s));
+    // Both versions fail as often.
+    const std::vector<version_counts> equal = {make_sends("v1", 47, 22, 0), make_sends("v2", 4, 2, 0)};
+    CHECK(may_promote(equal, run.order, tuning, 8s));
+}
