Edge: an answer that names no request promises nothing

Cause that is shown: a refusal without an id on a new connection was taken for the request's answer, with its promise, although the target may have written it before it read the request. The request was then sent on, or refused, and ran. Whether it is what the users saw is not shown.

Change: without an id an answer is neither a proof of 'not run' nor of a replaced target; nor is the refusal of another instance without one. A status that promises 'not run' without a proof counts as a failure of the target.

--- a/packages/edge/src/relay_peers.cpp
+++ b/packages/edge/src/relay_peers.cpp
@@ -154,11 +154,14 @@
                        {"took_ms", to_ms(elapsed)}});
 }
 
-// The answer of the other instance. A promise of it holds for its own sends only, see handle_request.
+// The answer of the other instance. A promise of it holds for its own sends only, see handle_request, and
+// only if it names the request.
 platform::http_response take_over_answer(caller_request& request, request_plan& plan,
                                          const exchange_result& result)
 {
-    if (!steering::promises_not_run(result.response.result_int())) {
+    const bool is_promise =
+        steering::promises_not_run(result.response.result_int()) && !result.metadata.attempt.empty();
+    if (!is_promise) {
         request.may_have_run = true;
         ++plan.send_count;
     }
--- a/packages/edge/src/relay_send.cpp
+++ b/packages/edge/src/relay_send.cpp
@@ -34,8 +34,10 @@
     if (result.metadata.not_run) {
         return steering::target_outcome::shed;
     }
-    return result.response.result_int() >= 500 ? steering::target_outcome::failure
-                                               : steering::target_outcome::success;
+    // A refusal without a proof that the request has not run is a failure as well.
+    const unsigned status = result.response.result_int();
+    return status >= 500 || steering::promises_not_run(status) ? steering::target_outcome::failure
+                                                               : steering::target_outcome::success;
 }
 
 steering::version_counts& counts_of(traffic_state& state, const request_plan& plan,
--- a/packages/edge/src/target_exchange.cpp
+++ b/packages/edge/src/target_exchange.cpp
@@ -203,6 +203,11 @@
             result.metadata.attempt.empty() && !connection->was_used && outcome.clean;
         const bool success = result.response.result_int() / 100 == 2;
         outcome.matches_request = result.metadata.attempt == attempt || (without_attempt && !success);
+        if (without_attempt) {
+            // It may have been written before the request was read, and names no request that it refuses.
+            result.metadata.not_run = false;
+            result.metadata.replaced = false;
+        }
         if (outcome.matches_request || !keep_alive) {
             co_return outcome;
         }
--- /dev/null
+++ b/packages/edge/tests/edge_faulty_answer_test.cpp
@@ -0,0 +1,99 @@
+// Bytes of faulty targets that are no answer to the request, or only a part of one.
+#include <catch2/catch.hpp>
+
+#include "camphorknot/steering/answer_promise.hpp"
+#include "edge_fixture.hpp"
+
+using namespace edge_tests;
+using standins::refusal_repeat;
+using standins::server_behavior;
+
+namespace {
+
+bool promises_not_run(const caller_response& answer)
+{
+    return camphorknot::steering::promises_not_run(answer.result_int());
+}
+
+} // namespace
+
+// Guards against a refusal that is taken for the answer to a request which the target then runs: the target
+// writes it on a new connection before it has read anything.
+TEST_CASE("edge faulty answer: bytes that were there before the request was sent refuse nothing")
+{
+    const unsigned status = GENERATE(503U, 429U, 421U);
+    edge_fixture fixture(2);
+    const std::string refusal =
+        "HTTP/1.1 " + std::to_string(status) + " Status\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    for (auto& server : fixture.servers) {
+        standins::set_greeting(*server, refusal);
+    }
+    std::this_thread::sleep_for(2s); // Connections from the start are not used for unsafe requests any more.
+    for (int number = 0; number < 6; ++number) {
+        const std::string attempt = "g" + std::to_string(number);
+        const auto answer = fixture.ask(make_request(http::verb::post, "/seal/1", attempt, "basket"));
+        std::this_thread::sleep_for(50ms);
+        CAPTURE(status, attempt, answer.result_int(), fixture.runs_of(attempt));
+        CHECK(fixture.runs_of(attempt) <= 1);
+        CHECK((fixture.runs_of(attempt) == 0 || !promises_not_run(answer)));
+    }
+}
+
+// Guards against an earlier refusal that is taken for the answer to the next request on a kept connection.
+TEST_CASE("edge faulty answer: a refusal that is written once more refuses no other request")
+{
+    const auto repeat = GENERATE(refusal_repeat::at_once, refusal_repeat::during_next_request,
+                                 refusal_repeat::after_next_answer);
+    const int server_count = GENERATE(1, 2);
+    edge_fixture fixture(server_count);
+    for (auto& server : fixture.servers) {
+        server->repeats_refusal = repeat;
+        server->service_ms = 20;
+    }
+    std::size_t runs = 0;
+    for (int number = 0; number < 12; ++number) {
+        for (auto& server : fixture.servers) {
+            standins::set_script(*server, {server_behavior::shed});
+        }
+        for (const std::string part : {"-a", "-b", "-c"}) {
+            const std::string attempt = "r" + std::to_string(number) + part;
+            const auto answer = fixture.ask(make_request(http::verb::post, "/seal/1", attempt, "basket"));
+            std::this_thread::sleep_for(30ms);
+            CAPTURE(static_cast<int>(repeat), server_count, attempt, answer.result_int());
+            CHECK(fixture.runs_of(attempt) <= 1);
+            CHECK((fixture.runs_of(attempt) == 0 || !promises_not_run(answer)));
+            runs += fixture.runs_of(attempt);
+        }
+    }
+    CHECK(runs >= 12);
+}
+
+// Guards against an answer that is cut off anywhere in its head or body, and is passed on as a whole one.
+TEST_CASE("edge faulty answer: a connection that ends at any byte of an answer gives no success")
+{
+    // A target that fails is left alone for a while, so that each cut meets another one.
+    constexpr std::size_t cuts = 24;
+    constexpr std::size_t bytes_between = 6; // The whole answer is shorter than the last cut.
+    const std::size_t first_cut = GENERATE(0U, 2U, 4U);
+    edge_fixture fixture(cuts);
+    std::size_t runs = 0;
+    std::size_t successes = 0;
+    for (std::size_t index = 0; index < cuts; ++index) {
+        for (auto& server : fixture.servers) {
+            server->cut_after_bytes = first_cut + index * bytes_between;
+            standins::set_script(*server, {server_behavior::cut_head});
+        }
+        const std::string attempt = "c" + std::to_string(index);
+        const auto answer = fixture.ask(make_request(http::verb::post, "/seal/1", attempt, "basket"));
+        CAPTURE(first_cut, index, answer.result_int(), answer.body());
+        const bool is_success = answer.result_int() / 100 == 2;
+        CHECK((!is_success || answer.body().starts_with("answer of i-")));
+        CHECK((!is_success || answer.body().size() >= std::string("answer of i-1").size()));
+        CHECK((fixture.runs_of(attempt) == 0 || !promises_not_run(answer)));
+        runs += fixture.runs_of(attempt);
+        successes += is_success ? 1 : 0;
+    }
+    CHECK(runs >= cuts / 2);
+    CHECK(successes > 0);
+    CHECK(successes < runs);
+}
--- a/packages/edge/tests/edge_records_test.cpp
+++ b/packages/edge/tests/edge_records_test.cpp
@@ -74,6 +74,64 @@
     }
 }
 
+// Guards against an instance that ends, or stops following the records, at an entry of another writer.
+TEST_CASE("edge records: entries with deep nesting, large numbers or impossible addresses do no harm")
+{
+    edge_fixture fixture;
+    const auto row = [](const std::string& address, const std::string& slots, const std::string& sequence,
+                        const std::string& further = "") {
+        return R"({"service":"desk","address":")" + address +
+               R"(","zone":"rvk-a","config_version":"v1","slots":)" + slots +
+               R"(,"state":"ready","warmup_left_s":0,"sequence":)" + sequence + further + "}";
+    };
+    const std::string address = local_ip() + ":" + std::to_string(fixture.servers.front()->port);
+    constexpr std::size_t depth = 32'000;
+    const std::string arrays = std::string(depth, '[') + std::string(depth, ']');
+    std::string objects;
+    for (std::size_t level = 0; level < 10'000; ++level) {
+        objects += R"({"a":)";
+    }
+    objects += "1" + std::string(10'000, '}');
+    const std::vector<std::string> rows = {arrays,
+                                           objects,
+                                           row(address, "4", "1", R"(,"extra":)" + arrays),
+                                           row(address, "4", "1", R"(,"extra":)" + objects),
+                                           std::string(60'000, '['),
+                                           row(address, "1e400", "1"),
+                                           row(address, "99999999999999999999999999", "1"),
+                                           row(address, "18446744073709551615", "1"),
+                                           row(address, "4", "1e400"),
+                                           row(address, "4", std::string(400, '9')),
+                                           row(address, "4", "1", R"(,"born":18446744073709551615)"),
+                                           row(address, "4", "1", R"(,"born":-9223372036854775808)"),
+                                           row(local_ip() + ":65536", "4", "1"),
+                                           row(local_ip() + ":99999999999999999999", "4", "1"),
+                                           row(local_ip() + ":0", "4", "1"),
+                                           row(local_ip() + ":-1", "4", "1"),
+                                           row("999.999.999.999:80", "4", "1"),
+                                           row("[::1:80", "4", "1"),
+                                           row("desk.example:80", "4", "1")};
+    // Each entry is written twice: a changed one is compared with the stored one.
+    for (const std::string suffix : {"", " "}) {
+        for (std::size_t index = 0; index < rows.size(); ++index) {
+            standins::put_row(*fixture.store, "servers", "i-odd-" + std::to_string(index),
+                              rows.at(index) + suffix);
+        }
+        std::this_thread::sleep_for(1200ms);
+    }
+    for (int count = 0; count < 60; ++count) {
+        const auto answer =
+            fixture.ask(make_request(http::verb::get, "/find/1", "o" + std::to_string(count)));
+        CHECK(answer.result_int() == 200);
+    }
+    // The records are still followed.
+    standins::put_row(*fixture.store, "op", "config",
+                      configuration_row(4, R"({"resource_kind":"tenants","metadata":{"name":"gullfoss"},
+                                               "spec":{"api_keys":["key-two"]}},)"));
+    CHECK(eventually(
+        [&] { return fixture.ask(make_request(http::verb::get, "/find/1", "last")).result_int() == 401; }));
+}
+
 TEST_CASE("edge records: a draining server gets nothing more after a moment")
 {
     edge_fixture fixture(2);
