--- a/packages/edge/tests/edge_records_test.cpp
+++ b/packages/edge/tests/edge_records_test.cpp
@@ -2,6 +2,9 @@
 #include <catch2/catch.hpp>
 #include <sstream>
 
+#include <pthread.h>
+
+#include "camphorknot/platform/records.hpp"
 #include "edge_fixture.hpp"
 
 using namespace edge_tests;
@@ -74,6 +77,30 @@
     }
 }
 
+// Guards against an instance that ends because its stack does not suffice for an entry of another writer.
+TEST_CASE("edge records: the comparison of deeply nested entries needs little stack")
+{
+    const auto compare = [](void* /*unused*/) -> void* {
+        static int differs = 0; // Only its address is used.
+        constexpr std::size_t depth = 32'000;
+        const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+        const camphorknot::steering::record first = {camphorknot::steering::collection::targets, "i-odd",
+                                                     R"({"sequence":1,"extra":)" + nested + "}", 1, false};
+        camphorknot::steering::record second = first;
+        second.version = 2;
+        return camphorknot::platform::differs_beyond_heartbeat(first, second) ? &differs : nullptr;
+    };
+    pthread_attr_t attributes;
+    REQUIRE(pthread_attr_init(&attributes) == 0);
+    REQUIRE(pthread_attr_setstacksize(&attributes, std::size_t{512} * 1024) == 0);
+    pthread_t thread{};
+    REQUIRE(pthread_create(&thread, &attributes, compare, nullptr) == 0);
+    void* result = nullptr;
+    CHECK(pthread_join(thread, &result) == 0);
+    CHECK(result != nullptr);
+    pthread_attr_destroy(&attributes);
+}
+
 // Guards against an instance that ends, or stops following the records, at an entry of another writer.
 TEST_CASE("edge records: entries with deep nesting, large numbers or impossible addresses do no harm")
 {
