--- a/tools/soak/faults.cpp
+++ b/tools/soak/faults.cpp
@@ -46,7 +46,7 @@
 {
     schedule_after(run, seconds(delay), [&run, &instance] {
         if (!is_running(instance)) {
-            start_process(run.fleet, instance);
+            start_process(instance);
         } else {
             schedule_restart(run, instance, 0.2);
         }
@@ -83,6 +83,25 @@
     }
 }
 
+// Stops the instance, whose next process is of the build under test. One that is not running, or is being
+// stopped, starts with it anyway.
+void upgrade_instance(run_state& run, instance_process& instance)
+{
+    ++run.faults["upgrade"];
+    instance.program = run.fleet.program;
+    if (!is_running(instance) || instance.suspended || instance.stop_sent != clock::time_point{}) {
+        return;
+    }
+    const auto now = clock::now();
+    constexpr double max_stop_s = 9; // As in inject_process_fault.
+    mark_unstable(run, max_stop_s);
+    run.disturbed.push_back(
+        {instance.name, now,
+         now + std::chrono::duration_cast<clock::duration>(seconds(max_stop_s)) + stabilization_time});
+    signal_process(instance, SIGTERM);
+    schedule_restart(run, instance, 3);
+}
+
 void mark_without_store(run_state& run, const instance_process& instance, double length)
 {
     const auto now = clock::now();
@@ -247,6 +266,14 @@
             }
         });
     }
+    if (!run.fleet.old_program.empty()) {
+        // One after the other; a few stops overlap.
+        const double pause = (fault_seconds - 3) / static_cast<double>(run.fleet.instances.size());
+        for (std::size_t index = 0; index < run.fleet.instances.size(); ++index) {
+            schedule_after(run, seconds(3 + pause * static_cast<double>(index)),
+                           [&run, index] { upgrade_instance(run, run.fleet.instances.at(index)); });
+        }
+    }
     if (run.random() % 3 == 0) {
         schedule_after(run, seconds(uniform_between(run, 3, fault_seconds)),
                        [&run] { inject_rejection_series(run); });
--- a/tools/soak/fleet.cpp
+++ b/tools/soak/fleet.cpp
@@ -153,6 +153,7 @@
         instance.ip = fleet.network + "." + std::to_string(101 + index);
         instance.settings_path = fleet.directory + "/" + instance.name + ".yaml";
         instance.log_path = fleet.directory + "/" + instance.name + ".jsonl";
+        instance.program = fleet.old_program.empty() ? fleet.program : fleet.old_program;
         instance.store_link = std::make_unique<proxy>(fleet.context, fleet.network + ".1", store);
         start(*instance.store_link);
         if (index < max_linked_instances) {
@@ -166,7 +167,7 @@
     }
 }
 
-void start_process(deployment& fleet, instance_process& instance)
+void start_process(instance_process& instance)
 {
     const std::string settings = "--settings=" + instance.settings_path;
     const pid_t pid = fork();
@@ -176,7 +177,7 @@
         dup2(log, STDERR_FILENO);
         // An inherited socket would stay open after this process has closed it.
         close_range(STDERR_FILENO + 1, ~0U, 0);
-        execl(fleet.program.c_str(), fleet.program.c_str(), settings.c_str(), nullptr);
+        execl(instance.program.c_str(), instance.program.c_str(), settings.c_str(), nullptr);
         _exit(127);
     }
     instance.pid = pid;
--- a/tools/soak/fleet.hpp
+++ b/tools/soak/fleet.hpp
@@ -24,6 +24,7 @@
     std::string ip;
     std::string settings_path;
     std::string log_path;
+    std::string program; ///< With which the next process starts.
     std::unique_ptr<proxy> store_link;
     std::string egress_ip; ///< Of its links to the servers; empty if it reaches them directly.
     std::vector<std::unique_ptr<proxy>> server_links; ///< In the order of the servers.
@@ -48,7 +49,8 @@
     boost::asio::io_context& context;
     std::string network; ///< First three octets "127.x.y" of the run's addresses.
     std::string directory;
-    std::string program;
+    std::string program;     ///< Of the build under test.
+    std::string old_program; ///< Of an earlier build with which the instances start; empty for none.
     standins::store_standin_handle store;
     std::vector<instance_process> instances;
     std::vector<server_process> servers;
@@ -85,7 +87,7 @@
 
 /// Creates @p count instances in three regions and writes their settings files; starts no process.
 void make_instances(deployment& fleet, std::size_t count);
-void start_process(deployment& fleet, instance_process& instance);
+void start_process(instance_process& instance);
 void signal_process(instance_process& instance, int number);
 
 /// Reaps the process if it has exited. @return whether the instance is running.
--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -11,6 +11,9 @@
 #include "faults.hpp"
 
 DEFINE_string(program, "build/packages/daemon/camphorknotd", "The instances' program.");
+DEFINE_string(old_program, "",
+              "Program of an earlier build. The instances start with it and are replaced by --program one "
+              "after another.");
 DEFINE_string(directory, "/tmp/camphorknot-soak",
               "Directory for settings and logs; kept for seeds that fail.");
 DEFINE_uint64(first_seed, 1, "First seed.");
@@ -36,6 +39,7 @@
         "127." + std::to_string(10 + process % 200) + "." + std::to_string(process / 200 % 250);
     run.fleet.directory = FLAGS_directory + "/" + std::to_string(seed) + "-" + std::to_string(process);
     run.fleet.program = FLAGS_program;
+    run.fleet.old_program = FLAGS_old_program;
     run.known_red = FLAGS_known_red;
     std::filesystem::remove_all(run.fleet.directory);
     std::filesystem::create_directories(run.fleet.directory);
@@ -48,7 +52,7 @@
     }
     make_instances(run.fleet, FLAGS_instances);
     for (instance_process& instance : run.fleet.instances) {
-        start_process(run.fleet, instance);
+        start_process(instance);
     }
     const auto start_time = clock::now();
     schedule_faults(run, FLAGS_seconds);
--- a/tools/soak/run.hpp
+++ b/tools/soak/run.hpp
@@ -20,7 +20,7 @@
 
 struct run_state {
     run_state(boost::asio::io_context& context, std::uint64_t number)
-        : fleet{context, {}, {}, {}, {}, {}, {}}, random(number)
+        : fleet{context, {}, {}, {}, {}, {}, {}, {}}, random(number)
     {
     }
     deployment fleet;
