Placement: a request for quiet outlives a lapse of the target's entry

Callers saw: a target in need got 59 to 93 requests from one instance while it had asked for none (2 allowed), since its entry lapsed and came back meanwhile.

Cause: the state of a target went with its entry, and with it the time until which it is to be quiet, or is cold.

Change: both are kept as long as they last, and hold again if the same incarnation is back.

The new test fails without the line that restores the time.

--- a/packages/decision/include/camphorknot/steering/target_pool.hpp
+++ b/packages/decision/include/camphorknot/steering/target_pool.hpp
@@ -99,10 +99,17 @@
 
 /// Targets as seen by one instance. Used only by its traffic thread.
 struct target_pool {
+    /// What a target whose entry is gone asked for. It may only have missed its heartbeats.
+    struct removed_target {
+        std::int64_t born_ms = 0;
+        time_point quiet_until{};
+        time_point cold_until{};
+    };
     placement_tuning tuning;
     std::string own_domain{};
     std::string own_region{};
-    std::map<std::string, target_state> targets{}; ///< By target id.
+    std::map<std::string, target_state> targets{};   ///< By target id.
+    std::map<std::string, removed_target> removed{}; ///< By target id, for as long as it asked for.
     std::map<std::string, std::vector<target_state*>> by_service{};
     std::map<std::string, service_profile> profiles{};
     std::map<std::string, std::vector<region_share>> region_shares{}; ///< By service; the shares add up to 1.
--- a/packages/decision/src/steering/target_pool.cpp
+++ b/packages/decision/src/steering/target_pool.cpp
@@ -340,13 +340,40 @@
 
 } // namespace
 
+namespace {
+
+// The state of a target that is new, or whose entry is back. What the incarnation asked for still holds then.
+target_state make_state(target_pool& pool, const target& entry)
+{
+    target_state state;
+    const auto removed = pool.removed.find(entry.id);
+    if (removed != pool.removed.end() && removed->second.born_ms == entry.born_ms) {
+        state.entry = entry; // Not one that has restarted.
+        state.entry.warmup_left = {};
+        state.quiet_until = removed->second.quiet_until;
+        state.cold_until = removed->second.cold_until;
+    }
+    return state;
+}
+
+void remember_removed(target_pool& pool, const target_state& state)
+{
+    pool.removed[state.entry.id] = {state.entry.born_ms, state.quiet_until, state.cold_until};
+}
+
+} // namespace
+
 void set_targets(target_pool& pool, std::span<const target> entries, const failure_domain_regions& regions,
                  const route_table& policies, time_point now)
 {
     std::set<std::string_view> present;
     for (const target& entry : entries) {
         present.insert(entry.id);
-        target_state& state = pool.targets[entry.id];
+        const auto [place, is_new] = pool.targets.try_emplace(entry.id);
+        target_state& state = place->second;
+        if (is_new) {
+            state = make_state(pool, entry);
+        }
         const bool restarted = state.entry.id.empty() || state.entry.born_ms != entry.born_ms;
         if (restarted) {
             const unsigned in_flight =
@@ -369,9 +396,16 @@
         if (removed) {
             position->second.entry.draining = true;
         }
-        position = removed && position->second.own_in_flight == 0 ? pool.targets.erase(position)
-                                                                  : std::next(position);
+        if (!removed || position->second.own_in_flight > 0) {
+            ++position;
+            continue;
+        }
+        remember_removed(pool, position->second);
+        position = pool.targets.erase(position);
     }
+    std::erase_if(pool.removed, [&](const auto& item) {
+        return now >= std::max(item.second.quiet_until, item.second.cold_until);
+    });
     pool.by_service.clear();
     for (auto& [id, state] : pool.targets) {
         pool.by_service[state.entry.service].push_back(&state);
--- a/packages/decision/tests/steering_notices_test.cpp
+++ b/packages/decision/tests/steering_notices_test.cpp
@@ -118,6 +118,34 @@
     CHECK(to_limited <= 8);
 }
 
+// Guards against requests to a target that asked for quiet, whose entry lapses and comes back meanwhile.
+TEST_CASE("placement: a target that asked for quiet gets nothing when its entry is back, until its next "
+          "incarnation")
+{
+    limited_pool fixture;
+    set_quiet(fixture.pool.targets.at("i-1"), 20s, start);
+    const std::vector<target> all = {fixture.pool.targets.at("i-1").entry,
+                                     fixture.pool.targets.at("i-2").entry};
+    const auto apply = [&](std::vector<target> entries, time_point now) {
+        set_targets(fixture.pool, entries, {}, *fixture.routes, now);
+    };
+    apply({all.at(1)}, start + 5s);
+    apply(all, start + 8s);
+    for (int step = 0; step < 40; ++step) {
+        CHECK(fixture.choose(start + 8s + step * 50ms).chosen->entry.id == "i-2");
+    }
+    // It starts again.
+    std::vector<target> restarted = all;
+    restarted.front().born_ms += 1;
+    apply(restarted, start + 11s);
+    CHECK(fixture.pool.targets.at("i-1").quiet_until <= start);
+    // The time is over while the entry is gone.
+    set_quiet(fixture.pool.targets.at("i-1"), 2s, start + 11s);
+    apply({all.at(1)}, start + 12s);
+    apply(restarted, start + 30s);
+    CHECK(fixture.pool.removed.empty());
+}
+
 TEST_CASE("placement: with limits at all targets a request waits for the first part, or is refused at once")
 {
     limited_pool fixture;
