--- a/packages/decision/src/steering/target_pool.cpp
+++ b/packages/decision/src/steering/target_pool.cpp
@@ -338,10 +338,6 @@
     profile.last_completion = now;
 }
 
-} // namespace
-
-namespace {
-
 // The state of a target that is new, or whose entry is back. What the incarnation asked for still holds then.
 target_state make_state(target_pool& pool, const target& entry)
 {
