--- a/packages/edge/src/control.hpp
+++ b/packages/edge/src/control.hpp
@@ -131,6 +131,20 @@
 /// start, and half of the other instances are alive.
 bool sees_fleet(const control_state& state, time_point now);
 
+/// Whether a new version may get more than the share of the canary. An instance that does not see the fleet
+/// cannot tell whether the others are gone or hold the version, so it starts to read the hold from the store.
+/// @param has_view result of sees_fleet.
+/// @param counts those that say something about the rollout, of all instances.
+bool is_promoted(control_state& state, const steering::rollout_run& run, bool has_view,
+                 std::span<const steering::version_counts> counts, time_point now);
+/// Records a change of the hold in the store, if that is this instance's task. Only what it recorded itself
+/// is released.
+void record_hold(control_state& state, steering::rollout_run& run, time_point now);
+/// @return the row of the hold that the completion of a rollout relies on; nothing if this instance sees the
+/// fleet.
+std::optional<platform::rollout_hold_row> hold_relied_on(const control_state& state,
+                                                         const steering::rollout_run& run, time_point now);
+
 /// Stops rollouts of failing versions, advances the traffic share of the others, and starts the write of a
 /// rollout state that is due.
 void step_rollouts(control_state& state, time_point now);
--- a/packages/edge/src/control_rollouts.cpp
+++ b/packages/edge/src/control_rollouts.cpp
@@ -1,5 +1,5 @@
 // Unfinished rollouts: stops those of failing versions by the pooled answers of the fleet, advances the
-// traffic share of the others, and writes their states to the store.
+// traffic share of the others, and writes their states to the store. Their holds are in control_holds.cpp.
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -17,11 +17,6 @@
 // Time for a share to reach the traffic thread and for that thread's next report to arrive.
 constexpr duration report_settling_time = std::chrono::milliseconds(700);
 
-// Period at which an instance that does not see the fleet reads the hold of a rollout.
-constexpr duration hold_read_period = std::chrono::milliseconds(500);
-// Instances that record the same hold, so that it is recorded if one of them does not reach the store.
-constexpr std::size_t hold_recorders = 2;
-
 // Whether the store holds a final state for the order.
 bool is_finished(const control_state& state, const steering::rollout_order& order)
 {
@@ -262,59 +257,6 @@
     log_rollout_step(log_severity::warning, "rollout_stopped", run, cause, counts);
 }
 
-// Reads whether the fleet holds the version, for an instance that does not see the fleet.
-asio::awaitable<void> read_hold(control_state& state, steering::rollout_order order)
-{
-    const time_point began_at = boot_now();
-    const std::optional<steering::rollout_hold> hold =
-        co_await platform::read_rollout_hold(state.read_client, order.service);
-    state.hold_read_pending = false;
-    const auto run = state.rollout_runs.find(order.service);
-    if (!hold || run == state.rollout_runs.end() || run->second.order.order_version != order.order_version) {
-        co_return;
-    }
-    run->second.known_hold = *hold;
-    run->second.hold_read_at = began_at;
-}
-
-// Records for instances that do not see the fleet whether it holds the version.
-asio::awaitable<void> write_hold(control_state& state, steering::rollout_order order, bool held)
-{
-    const platform::store_answer answer = co_await platform::write_rollout_hold(
-        state.write_client, order.service, {order.order_version, held, 0});
-    log_event(log_severity::info, "rollout_hold_write",
-              {{"service", order.service},
-               {"version", order.version},
-               {"held", held ? "true" : "false"},
-               {"outcome", std::string(platform::name_of(answer.status))}});
-}
-
-// Records a change of the hold, if that is this instance's task. Only what it recorded itself is released.
-void record_hold(control_state& state, steering::rollout_run& run, time_point now)
-{
-    const bool is_recorder =
-        steering::assignment_rank(state.fleet, "rollout/" + run.order.service, now) < hold_recorders;
-    if (is_recorder && run.held != run.hold_recorded && !run.stopped) {
-        run.hold_recorded = run.held;
-        asio::co_spawn(state.context, write_hold(state, run.order, run.held), asio::detached);
-    }
-}
-
-// Whether the version may get more than the share of the canary. An instance that does not see the fleet
-// cannot tell whether the others are gone or hold the version, so it asks the store.
-bool is_promoted(control_state& state, const steering::rollout_run& run, bool has_view,
-                 std::span<const steering::version_counts> counts, time_point now)
-{
-    const steering::rollout_tuning tuning;
-    if (!has_view && !state.hold_read_pending &&
-        (!run.hold_read_at || now - *run.hold_read_at >= hold_read_period)) {
-        state.hold_read_pending = true;
-        asio::co_spawn(state.context, read_hold(state, run.order), asio::detached);
-    }
-    return (has_view || steering::is_hold_excluded(run, tuning, now)) &&
-           steering::may_promote(counts, run.order, tuning, now - run.first_seen);
-}
-
 // Updates the share of the new version.
 void update_share(control_state& state, steering::rollout_run& run,
                   std::span<const steering::version_counts> counts, time_point now)
@@ -345,17 +287,6 @@
     }
 }
 
-// The hold that the completion of a rollout relies on: that of the store, if this instance does not see the
-// fleet.
-std::optional<platform::rollout_hold_row> hold_relied_on(const control_state& state,
-                                                         const steering::rollout_run& run, time_point now)
-{
-    if (run.completed || sees_fleet(state, now)) {
-        return std::nullopt;
-    }
-    return platform::rollout_hold_row{run.order.service, run.known_hold.record_version};
-}
-
 asio::awaitable<void> write_rollout_state(control_state& state, steering::rollout_order order,
                                           steering::rollout_state wanted,
                                           std::optional<platform::rollout_hold_row> hold)
