--- a/packages/decision/tests/steering_crash_verdicts_test.cpp
+++ b/packages/decision/tests/steering_crash_verdicts_test.cpp
@@ -479,7 +479,7 @@
             on_run_ended(table, key_of(1), unanswered_run_at(target, sent, sent + 500ms),
                          start + sent + 500ms);
             // Another instance loses a request at the same target, and one at another target in between.
-            const auto beside = static_cast<std::uint64_t>(10 + 2 * number);
+            const auto beside = 10 + 2 * static_cast<std::uint64_t>(number);
             const auto reported = is_answer_known ? run_at : unanswered_run_at;
             on_run_ended(table, key_of(beside), reported(target, sent, sent + 500ms), start + sent + 500ms);
             on_run_ended(table, key_of(beside + 1),
--- a/packages/edge/src/traffic.cpp
+++ b/packages/edge/src/traffic.cpp
@@ -154,12 +154,14 @@
 // What a version answered before a rollout began says nothing about its targets of today.
 void reset_counts(traffic_state& state, const std::map<std::string, version_rule>& incoming)
 {
-    for (const auto& [service, rule] : incoming) {
-        const auto known = state.view.versions.find(service);
+    for (const auto& item : incoming) {
+        const version_rule& rule = item.second;
+        const auto known = state.view.versions.find(item.first);
         const bool is_known =
             known != state.view.versions.end() && known->second.run_started_at == rule.run_started_at;
         if (!rule.next.empty() && !is_known) {
-            std::erase_if(state.counts, [&](const auto& entry) { return entry.second.service == service; });
+            std::erase_if(state.counts,
+                          [&](const auto& entry) { return entry.second.service == item.first; });
         }
     }
 }
--- a/packages/edge/tests/edge_era_test.cpp
+++ b/packages/edge/tests/edge_era_test.cpp
@@ -31,8 +31,10 @@
         const std::lock_guard lock(server.guard);
         server.received.clear();
     }
+    constexpr int caller_count = 8;
     std::vector<std::thread> callers;
-    for (int caller = 0; caller < 8; ++caller) {
+    callers.reserve(caller_count);
+    for (int caller = 0; caller < caller_count; ++caller) {
         callers.emplace_back([&fixture] {
             for (int count = 0; count < 10; ++count) {
                 fixture.ask(make_request(http::verb::get, "/find/" + std::to_string(count), "k"));
--- a/packages/edge/tests/edge_rollout_test.cpp
+++ b/packages/edge/tests/edge_rollout_test.cpp
@@ -45,9 +45,9 @@
     {
         for (const char* name : {"silent-1", "silent-2", "silent-3"}) {
             const std::string address = local_ip() + ":" + std::to_string(free_port());
-            standins::put_row(*store, "instances", name,
-                              R"({"failure_domain":"rvk-b","region":"reykjavik","front":")" + address +
-                                  R"(","peers":")" + address + R"("})");
+            std::string row = R"({"failure_domain":"rvk-b","region":"reykjavik","front":")";
+            row.append(address).append(R"(","peers":")").append(address).append(R"("})");
+            standins::put_row(*store, "instances", name, row);
         }
     }
 
