Crash verdicts: ends count although the targets beside the ended one are down as well

Callers saw: a request that ends its targets went on to be sent, and other requests were lost there, where several targets of one failure domain were down.

Cause: whether the instance itself was cut off was decided by four targets of the same failure domain, in the order of their ids. If these had ended as well, no end counted for a minute.

Change: up to eight of the domain and eight of the others are tried, those without a failed request first, in the same time.

--- a/packages/edge/src/relay_crashes.cpp
+++ b/packages/edge/src/relay_crashes.cpp
@@ -13,8 +13,11 @@
 namespace {
 
 constexpr duration probe_timeout = std::chrono::milliseconds(500);
-// Targets that are tried to find out whether this instance reaches any.
-constexpr std::size_t max_reference_targets = 4;
+// Targets of the failure domain, and as many of the others, that are tried to find out whether this instance
+// reaches any: some of them may have ended as well.
+constexpr std::size_t max_reference_targets = 8;
+// Time in which a target is reached that listens, even if others before it do not answer.
+constexpr duration reference_time = 4 * probe_timeout;
 // After an end while no target could be reached, further ends count only after an answer or this time.
 constexpr duration isolation_time = std::chrono::seconds(60);
 // A longer time between ticks means that the process was suspended.
@@ -88,19 +91,24 @@
 }
 
 // Targets that this instance may reach although it does not reach `ended`: those of the same failure domain
-// first.
+// first, and those whose last request did not fail.
 std::vector<steering::target> find_reference_targets(const traffic_state& state,
                                                      const steering::target& ended)
 {
     std::vector<steering::target> references;
     for (const bool same_domain : {true, false}) {
+        std::vector<const steering::target_state*> usable;
         for (const auto& [id, other] : state.pool.targets) {
-            const bool is_usable = id != ended.id && !other.entry.draining &&
-                                   (other.entry.failure_domain == ended.failure_domain) == same_domain;
-            if (is_usable && references.size() < max_reference_targets) {
-                references.push_back(other.entry);
+            const bool is_same_domain = other.entry.failure_domain == ended.failure_domain;
+            if (id != ended.id && !other.entry.draining && is_same_domain == same_domain) {
+                usable.push_back(&other);
             }
         }
+        std::ranges::stable_sort(usable, {}, &steering::target_state::consecutive_failures);
+        usable.resize(std::min(usable.size(), max_reference_targets));
+        for (const steering::target_state* other : usable) {
+            references.push_back(other->entry);
+        }
     }
     return references;
 }
@@ -113,10 +121,14 @@
     if (was_answered) {
         co_return true;
     }
+    const time_point end = boot_now() + reference_time;
     const std::vector<steering::target> references = find_reference_targets(state, ended);
     for (const steering::target& other : references) {
-        const connect_outcome outcome =
-            co_await open_idle_connection(state.connections, other, probe_timeout);
+        const duration limit = std::min(probe_timeout, end - boot_now());
+        if (limit <= duration{}) {
+            co_return false;
+        }
+        const connect_outcome outcome = co_await open_idle_connection(state.connections, other, limit);
         if (outcome == connect_outcome::connected) {
             co_return true;
         }
--- a/packages/edge/tests/edge_crash_test.cpp
+++ b/packages/edge/tests/edge_crash_test.cpp
@@ -153,6 +153,19 @@
     CHECK(fixture.later_sends_of("fatal") <= max_later_sends);
 }
 
+// Guards against an instance that takes itself for cut off because the targets near the ended one are down.
+TEST_CASE("edge crash: a request that ends its targets reaches few of them where most targets are down")
+{
+    crash_fixture fixture(12, 2, {"rvk-a", "rvk-b"});
+    for (const std::size_t down : {0, 2, 4, 10, 1, 3, 9, 11}) { // Four of six in each failure domain.
+        fixture.servers.at(down)->restart_ms = -1;
+        standins::end_server(*fixture.servers.at(down));
+    }
+    fixture.repeat(make_request(http::verb::get, "/find/fatal", "f"), 8s, 150ms);
+    CHECK(fixture.arrivals_of("fatal").size() >= 3);
+    CHECK(fixture.later_sends_of("fatal") <= max_later_sends);
+}
+
 TEST_CASE("edge crash: the refusal of a condemned request is at once, true, and names a time")
 {
     crash_fixture fixture(6, 1);
