Crash verdicts: copies that end targets of one failure domain count if others there are alive

Callers saw: copies of a fatal request were sent again seconds after a first burst had ended several targets of one failure domain.

Cause: ends at the same time count as one unless they are in several failure domains, since a domain without power looks the same.

Change: the instance that notices an end says whether another target of the domain listened after it. If one did after each end of the batch, the batch counts as one in several domains does, with the same delay. Earlier builds skip the field, and without it the batch counts as one end.

--- a/packages/decision/include/camphorknot/steering/crash_verdicts.hpp
+++ b/packages/decision/include/camphorknot/steering/crash_verdicts.hpp
@@ -42,6 +42,8 @@
     /// seen none.
     std::optional<time_point> version_answered_at{};
     std::string failure_domain{}; ///< Of the target; empty if an earlier version reported the end.
+    /// Another target of the failure domain listened after the end. False if an earlier version reported it.
+    bool domain_alive = false;
 };
 
 /// A request that was running when targets ended.
@@ -62,9 +64,9 @@
     /// many and a request was running at less than half of them, their ends say nothing about the request.
     duration batch_window = std::chrono::milliseconds(300);
     std::size_t min_batch = 4;
-    /// Targets of different failure domains that end together rarely have another common cause than the
-    /// request that was running at all of them. From this number on they condemn it, after a delay in which
-    /// an answer, or evidence of other ends, can still arrive.
+    /// Targets of different failure domains that end together, or of one of which others stay alive, rarely
+    /// have another common cause than the request that was running at all of them. From this number on they
+    /// condemn it, after a delay in which an answer, or evidence of other ends, can still arrive.
     std::size_t min_sole_batch = 3;
     duration sole_batch_delay = std::chrono::milliseconds(1200);
     /// Length of the first verdict. Each further run multiplies it, up to the maximum: a request that comes
@@ -99,6 +101,7 @@
         duration ended_age{};
         duration version_answered_age = unknown_age;
         std::string failure_domain{};
+        bool domain_alive = false;
     };
     suspect_key key{};
     bool cleared = false;
--- a/packages/decision/src/steering/crash_verdicts.cpp
+++ b/packages/decision/src/steering/crash_verdicts.cpp
@@ -110,26 +110,29 @@
     return count.own < count.all;
 }
 
-// The runs that ended together with `first` or shortly after it, if these are enough in several failure
-// domains and the request was running at all targets that ended at that time; else none.
+// The runs that ended together with `first` or shortly after it, if these are enough, in several failure
+// domains or one that was alive after each end, and the request was running at all targets that ended at that
+// time; else none.
 std::vector<const ended_run*> find_sole_batch(const crash_tuning& tuning, const end_context& context,
                                               const crash_suspect& suspect, const ended_run& first)
 {
     const time_point end = first.ended_at + tuning.batch_window;
     std::vector<const ended_run*> batch;
     std::set<std::string_view> domains;
+    bool domain_alive = true;
     for (const ended_run& run : suspect.runs) {
         const bool is_in_window = run.ended_at >= first.ended_at && run.ended_at <= end;
         if (is_in_window && !context.explained.contains(incarnation_of(run))) {
             batch.push_back(&run);
             domains.insert(run.failure_domain);
+            domain_alive = domain_alive && run.domain_alive;
         }
     }
     const end_count count = count_ends(context, suspect, first.ended_at - tuning.batch_window, end);
     const bool is_sole = count.own == count.all;
-    return is_sole && batch.size() >= tuning.min_sole_batch && domains.size() > 1
-               ? batch
-               : std::vector<const ended_run*>();
+    const bool is_outage = domains.size() == 1 && !domain_alive;
+    return is_sole && batch.size() >= tuning.min_sole_batch && !is_outage ? batch
+                                                                          : std::vector<const ended_run*>();
 }
 
 // What the ends of targets say against a request.
@@ -287,9 +290,9 @@
     return table.suspects[key];
 }
 
-// Whether the run was added. The stored times of a known run are replaced by earlier ones, which have fewer
-// delays in them. Beyond the limit the first and the last runs are kept, which does not depend on the order
-// of arrival.
+// Whether the run, or that its failure domain is alive, is news. The stored times of a known run are replaced
+// by earlier ones, which have fewer delays in them. Beyond the limit the first and the last runs are kept,
+// which does not depend on the order of arrival.
 bool add_run(const crash_tuning& tuning, crash_suspect& suspect, const ended_run& run)
 {
     const auto stored = std::ranges::find_if(
@@ -298,7 +301,9 @@
         stored->sent_at = std::min(stored->sent_at, run.sent_at);
         stored->ended_at = std::min(stored->ended_at, run.ended_at);
         stored->version_answered_at = std::max(stored->version_answered_at, run.version_answered_at);
-        return false;
+        const bool is_news = run.domain_alive && !stored->domain_alive;
+        stored->domain_alive = stored->domain_alive || run.domain_alive;
+        return is_news;
     }
     suspect.runs.push_back(run);
     std::ranges::sort(suspect.runs, {}, &ended_run::ended_at);
@@ -315,6 +320,7 @@
 {
     ended_run run = {reported.target, reported.born_ms, now - reported.sent_age, now - reported.ended_age};
     run.failure_domain = reported.failure_domain;
+    run.domain_alive = reported.domain_alive;
     if (reported.version_answered_age != crash_report::unknown_age) {
         run.version_answered_at = now - reported.version_answered_age;
     }
@@ -328,6 +334,7 @@
         crash_report::run& reported = report.runs.emplace_back();
         reported = {run.target, run.born_ms, now - run.sent_at, now - run.ended_at};
         reported.failure_domain = run.failure_domain;
+        reported.domain_alive = run.domain_alive;
         if (run.version_answered_at) {
             reported.version_answered_age = now - *run.version_answered_at;
         }
--- a/packages/decision/tests/steering_crash_verdicts_test.cpp
+++ b/packages/decision/tests/steering_crash_verdicts_test.cpp
@@ -115,6 +115,33 @@
     CHECK(is_condemned(table, key_of(1), 131s + 19min));
 }
 
+// Guards against copies of a fatal request that are sent again since all targets that they ended belong to
+// one failure domain, as after a loss of its power.
+TEST_CASE(
+    "crash verdicts: copies that end targets of one failure domain condemn it if others there are alive")
+{
+    // A domain that loses its power may still have targets that listen when the first of them end.
+    const bool is_known_at_once = GENERATE(true, false);
+    crash_table table;
+    for (int number = 0; number < 3; ++number) {
+        ended_run run = run_at("t" + std::to_string(number), 0s, 500ms);
+        run.failure_domain = "rvk-a";
+        run.domain_alive = is_known_at_once || number != 2;
+        on_run_ended(table, key_of(1), run, start + 500ms);
+    }
+    const duration valid_from = 500ms + table.tuning.sole_batch_delay;
+    CHECK(is_condemned(table, key_of(1), valid_from) == is_known_at_once);
+    // Another instance lost a request at the same end and found the domain alive.
+    ended_run confirmed = run_at("t2", 0s, 510ms);
+    confirmed.failure_domain = "rvk-a";
+    confirmed.domain_alive = true;
+    on_run_ended(table, key_of(1), confirmed, start + 510ms);
+    CHECK(is_condemned(table, key_of(1), valid_from));
+    crash_table other;
+    on_crash_reports_received(other, all_reports(table, 1s), start + 1s);
+    CHECK(is_condemned(other, key_of(1), valid_from));
+}
+
 TEST_CASE("crash verdicts: a batch condemns no request that is not its only cause")
 {
     const duration later = 3s;
--- a/packages/edge/src/peer_codec.cpp
+++ b/packages/edge/src/peer_codec.cpp
@@ -68,7 +68,7 @@
 auto peer_fields(const_or_mutable<crash_report::run> auto& value)
 {
     return std::tie(value.target, value.born_ms, value.sent_age, value.ended_age, value.version_answered_age,
-                    value.failure_domain);
+                    value.failure_domain, value.domain_alive);
 }
 auto peer_fields(const_or_mutable<crash_report> auto& value)
 {
--- a/packages/edge/src/relay_crashes.cpp
+++ b/packages/edge/src/relay_crashes.cpp
@@ -68,7 +68,8 @@
                        {"for_ms", to_ms(left)}});
 }
 
-void store_ended_run(traffic_state& state, const steering::target& target, const lost_run& lost)
+void store_ended_run(traffic_state& state, const steering::target& target, const lost_run& lost,
+                     bool domain_alive)
 {
     const time_point now = boot_now();
     const caller_request& request = *lost.request;
@@ -76,8 +77,8 @@
         compute_identity(request.message, request.metadata.host, lost.customer), target.service,
         target.version};
     const steering::version_history& version = state.crashes.versions[{target.service, target.version}];
-    const steering::ended_run run = {target.id,    target.born_ms,      lost.sent_at,
-                                     lost.lost_at, version.answered_at, target.failure_domain};
+    const steering::ended_run run = {target.id,           target.born_ms,        lost.sent_at, lost.lost_at,
+                                     version.answered_at, target.failure_domain, domain_alive};
     const bool is_news = steering::on_run_ended(state.crashes.table, key, run, now);
     if (is_news) {
         log_event_limited(state.log, log_severity::warning, "target_ended_under_request",
@@ -113,27 +114,31 @@
     return references;
 }
 
-// Whether the loss is not this instance's own: it reaches another target.
-asio::awaitable<bool> reaches_another(traffic_state& state, const steering::target& ended, time_point lost_at)
+// The failure domain of another target that this instance reaches, by which the loss is not its own; that of
+// `ended` if it reaches one there.
+asio::awaitable<std::optional<std::string>>
+find_reachable_domain(traffic_state& state, const steering::target& ended, time_point lost_at)
 {
     const bool was_answered =
         state.crashes.last_answered_at > lost_at && state.crashes.last_answer_target != ended.id;
     if (was_answered) {
-        co_return true;
+        const auto answered = state.pool.targets.find(state.crashes.last_answer_target);
+        co_return answered == state.pool.targets.end() ? std::string()
+                                                       : answered->second.entry.failure_domain;
     }
     const time_point end = boot_now() + reference_time;
     const std::vector<steering::target> references = find_reference_targets(state, ended);
     for (const steering::target& other : references) {
         const duration limit = std::min(probe_timeout, end - boot_now());
         if (limit <= duration{}) {
-            co_return false;
+            co_return std::nullopt;
         }
         const connect_outcome outcome = co_await open_idle_connection(state.connections, other, limit);
         if (outcome == connect_outcome::connected) {
-            co_return true;
+            co_return other.failure_domain;
         }
     }
-    co_return false;
+    co_return std::nullopt;
 }
 
 // Finds out whether the target has ended: it refuses connections, while this instance reaches another target.
@@ -141,9 +146,9 @@
 {
     const connect_outcome outcome = co_await open_idle_connection(state.connections, target, probe_timeout);
     const bool has_ended = outcome == connect_outcome::refused;
-    bool others_reachable = false;
+    std::optional<std::string> reachable_domain;
     if (has_ended) {
-        others_reachable = co_await reaches_another(state, target, lost_at);
+        reachable_domain = co_await find_reachable_domain(state, target, lost_at);
     }
     const std::vector<lost_run> runs = std::move(state.crashes.inquiries[target.id]);
     state.crashes.inquiries.erase(target.id);
@@ -152,12 +157,12 @@
     }
     const time_point now = boot_now();
     steering::version_history& version = state.crashes.versions[{target.service, target.version}];
-    steering::on_target_ended(version, others_reachable, now);
-    if (!others_reachable || !steering::may_blame_requests(version, isolation_time, now)) {
+    steering::on_target_ended(version, reachable_domain.has_value(), now);
+    if (!reachable_domain || !steering::may_blame_requests(version, isolation_time, now)) {
         co_return;
     }
     for (const lost_run& run : runs) {
-        store_ended_run(state, target, run);
+        store_ended_run(state, target, run, *reachable_domain == target.failure_domain);
     }
     publish_evidence(state);
 }
--- a/packages/edge/tests/edge_crash_test.cpp
+++ b/packages/edge/tests/edge_crash_test.cpp
@@ -141,9 +141,12 @@
     CHECK(served > asked * 9 / 10);
 }
 
-TEST_CASE("edge crash: copies of a request that end many targets at once are not sent again seconds later")
+namespace {
+
+/// Copies of a fatal request arrive at all instances at once, three times.
+void check_copies_are_not_sent_again(const std::vector<std::string>& target_domains)
 {
-    crash_fixture fixture(12, 4, {"rvk-a", "rvk-b"});
+    crash_fixture fixture(12, 4, target_domains);
     constexpr auto period = spread_time + 500ms;
     for (const std::string burst : {"a", "b", "c"}) {
         fixture.send_copies(make_request(http::verb::post, "/seal/1", burst, "fatal"));
@@ -153,6 +156,19 @@
     CHECK(fixture.later_sends_of("fatal") <= max_later_sends);
 }
 
+} // namespace
+
+TEST_CASE("edge crash: copies of a request that end many targets at once are not sent again seconds later")
+{
+    check_copies_are_not_sent_again({"rvk-a", "rvk-b"});
+}
+
+// Guards against ends that are taken for an outage of the failure domain although others there are alive.
+TEST_CASE("edge crash: copies that end many targets of one failure domain are not sent again seconds later")
+{
+    check_copies_are_not_sent_again({"rvk-a"});
+}
+
 // Guards against an instance that takes itself for cut off because the targets near the ended one are down.
 TEST_CASE("edge crash: a request that ends its targets reaches few of them where most targets are down")
 {
