Rollouts: an answer is slow by the time that the current version takes on its route

Callers saw: a new version of a fast service that is eight times slower was completed, and its targets had no room for the load.

Cause: an answer counted as slow after four times the time of a miss, which begins at 800 ms and is never measured on routes without affinity, so that only answers over 3.2 s were slow.

Change: each instance measures the current version's answers by route. Four times as long and 100 ms more is slow, for warm answers of targets that are not cold; for all others the former rule holds.

--- a/packages/decision/include/camphorknot/steering.hpp
+++ b/packages/decision/include/camphorknot/steering.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "camphorknot/steering/answer_promise.hpp"
+#include "camphorknot/steering/answer_speed.hpp"
 #include "camphorknot/steering/crash_verdicts.hpp"
 #include "camphorknot/steering/fleet.hpp"
 #include "camphorknot/steering/front_selection.hpp"
--- a/packages/decision/include/camphorknot/steering/fleet.hpp
+++ b/packages/decision/include/camphorknot/steering/fleet.hpp
@@ -24,7 +24,7 @@
     std::string version{};
     std::string route{};
     std::uint64_t answers = 0;
-    /// Failures, and answers slower than rollout_tuning::slow_factor allows.
+    /// Failures, and slow answers (answer_speed.hpp).
     std::uint64_t failing_answers = 0;
     std::uint64_t unanswered = 0; ///< Their callers left before an answer was due.
     std::uint64_t sent = 0;       ///< Including those that are in flight or were rejected.
--- a/packages/decision/include/camphorknot/steering/rollout_pacer.hpp
+++ b/packages/decision/include/camphorknot/steering/rollout_pacer.hpp
@@ -26,8 +26,6 @@
     std::uint64_t min_failing_answers = 5; ///< Of the new version, before it can count as failing.
     double min_difference = 0.15;     ///< Minimum of the new version's failing fraction minus the old one's.
     double min_standard_errors = 2.5; ///< Minimum difference in standard errors.
-    /// An answer that takes this many times the average time counts as failing.
-    double slow_factor = 4;
     /// Good answers of the new version, over the fleet, that it needs for more than the share of the canary.
     std::uint64_t min_good_answers = 10;
     /// Failing answers that make a version doubtful as long as it lacks the good ones.
--- a/packages/edge/src/relay_send.cpp
+++ b/packages/edge/src/relay_send.cpp
@@ -53,22 +53,43 @@
     return counted;
 }
 
+// Whether an answer of the target takes the time of a warm one: the target is not cold, and a request for the
+// same object was sent to it so long ago that the object is cached.
+bool is_speed_comparable(const traffic_state& state, const request_plan& plan,
+                         const steering::target_state& chosen, duration miss_time, time_point now)
+{
+    if (now < chosen.cold_until) {
+        return false;
+    }
+    if (!plan.object) {
+        return true;
+    }
+    const auto sent = chosen.objects.find(*plan.object);
+    return sent != chosen.objects.end() && now - sent->second > miss_time &&
+           now - sent->second < state.pool.tuning.object_retention;
+}
+
 void count_version_answer(traffic_state& state, const request_plan& plan, const steering::target& target,
-                          steering::target_outcome outcome, duration service_time)
+                          steering::target_outcome outcome, duration service_time, bool is_comparable)
 {
     if (outcome == steering::target_outcome::shed || outcome == steering::target_outcome::replaced) {
         return;
     }
     steering::version_counts& counted = counts_of(state, plan, target);
-    const steering::rollout_tuning tuning;
-    const duration average = state.pool.profiles[plan.service].miss;
+    const steering::slowness_tuning tuning;
+    steering::answer_speed& speed = state.answer_speeds[{plan.service, plan.route->name}];
     const bool slow =
         service_time >
-        duration(static_cast<std::int64_t>(static_cast<double>(average.count()) * tuning.slow_factor));
+        steering::slow_answer_time(speed, tuning, state.pool.profiles[plan.service].miss, is_comparable);
     if (outcome == steering::target_outcome::abandoned && !slow) {
         ++counted.unanswered;
         return;
     }
+    const version_rule rule = find_version_rule(state, plan.service);
+    const bool is_current = rule.current.empty() ? rule.next.empty() : target.version == rule.current;
+    if (is_comparable && is_current && outcome == steering::target_outcome::success) {
+        steering::on_comparable_answer(speed, tuning, service_time);
+    }
     ++counted.answers;
     counted.failing_answers += slow || outcome != steering::target_outcome::success ? 1 : 0;
 }
@@ -209,6 +230,8 @@
     steering::target_state& chosen = *placement.chosen;
     const steering::target target = chosen.entry;
     const time_point start = boot_now();
+    const bool is_comparable =
+        is_speed_comparable(state, plan, chosen, state.pool.profiles[plan.service].miss, start);
     steering::on_request_sent(state.pool, chosen, plan.object.value_or(plan.random_key), start);
     ++counts_of(state, plan, target).sent;
     const version_rule rule = find_version_rule(state, plan.service);
@@ -256,7 +279,7 @@
     if (result.new_connection) {
         state.counters.new_connections->fetch_add(1, std::memory_order_relaxed);
     }
-    count_version_answer(state, plan, target, outcome, service_time);
+    count_version_answer(state, plan, target, outcome, service_time, is_comparable);
     wake_waiter_for(state, plan.service, target.id);
     const bool never_ran = result.outcome == exchange_outcome::not_connected || result.metadata.not_run;
     const bool not_received = result.outcome == exchange_outcome::not_connected || result.metadata.replaced;
--- a/packages/edge/src/traffic.hpp
+++ b/packages/edge/src/traffic.hpp
@@ -85,6 +85,8 @@
     std::map<std::string, service_queue> queues;                   ///< By service.
     std::map<std::string, steering::version_split> version_splits; ///< By service; those under rollout.
     std::map<count_key, steering::version_counts> counts;
+    /// By service and route.
+    std::map<std::pair<std::string, std::string>, steering::answer_speed> answer_speeds;
     steering::notice_table notices; ///< Announced to this instance.
     crash_watch crashes;
     std::map<std::string, steering::service_reach> reach; ///< By service.
--- a/packages/edge/tests/edge_rollout_test.cpp
+++ b/packages/edge/tests/edge_rollout_test.cpp
@@ -229,3 +229,22 @@
           max_exposure * static_cast<double>(total) + exposure_slack);
     CHECK(fixture.rollout_state().find("rolled_back") != std::string::npos);
 }
+
+// Guards against a version of a fast service that is several times slower and is completed.
+TEST_CASE("edge rollout: a version of a fast service that is several times slower is rolled back")
+{
+    versioned_fixture fixture;
+    standins::server_standin& old_server = fixture.add_version("i-1", "v1", 100, 20);
+    fixture.start();
+    press(fixture, 4, 1s);
+    standins::server_standin& slow = fixture.add_version("i-2", "v2", 200, 300);
+    const std::size_t before = received_count(old_server);
+    fixture.order_rollout("v2", 6);
+    press(fixture, 4, 7s);
+    const std::size_t total = received_count(old_server) - before + received_count(slow);
+    CAPTURE(total, received_count(slow), fixture.rollout_state());
+    CHECK(received_count(slow) > 0);
+    CHECK(static_cast<double>(received_count(slow)) <=
+          max_exposure * static_cast<double>(total) + exposure_slack);
+    CHECK(fixture.rollout_state().find("rolled_back") != std::string::npos);
+}
