Edge: a refusal that promises "not run" after a send names its sends and their proof

Callers were promised "not run" for requests that ran, and no line told why: refusals and failed sends share a limit of 20 lines a second, and the line of a send shows neither whose id the answer bore nor on which connection it came.

refused_after_send lists each send with its target, its end, the proof, the id that the proof bore, the connection and its earlier uses, and whether a send still runs. Lines of requests that must not run twice are not limited; each lists eight sends at most. camphorknot_promises_after_send_total counts sends by proof. The three hypotheses of docs/incidents/refused-and-ran.md differ in these fields.

--- a/packages/edge/src/relay.cpp
+++ b/packages/edge/src/relay.cpp
@@ -186,6 +186,9 @@
 {
     platform::http_response answer = co_await find_answer(state, request);
     if (steering::is_true_status(answer.result_int(), request->may_have_run)) {
+        if (steering::promises_not_run(answer.result_int())) {
+            log_promise(state, *request, answer.result_int());
+        }
         co_return answer;
     }
     // A target or another instance knows of its own sends only.
--- a/packages/edge/src/relay_peers.cpp
+++ b/packages/edge/src/relay_peers.cpp
@@ -154,14 +154,27 @@
                        {"took_ms", to_ms(elapsed)}});
 }
 
-// The answer of the other instance. A promise of it holds for its own sends only, see handle_request, and
-// only if it names the request.
+// Whether the answer of another instance promises that the request has not run. An answer that names no
+// request promises nothing.
+bool is_promise(const exchange_result& result)
+{
+    return result.outcome == exchange_outcome::answered &&
+           steering::promises_not_run(result.response.result_int()) && !result.metadata.attempt.empty();
+}
+
+not_run_proof find_proof(const exchange_result& result)
+{
+    if (result.outcome == exchange_outcome::not_connected) {
+        return not_run_proof::not_connected;
+    }
+    return is_promise(result) ? not_run_proof::peer_refusal : not_run_proof::none;
+}
+
+// The answer of the other instance. A promise of it holds for its own sends only, see handle_request.
 platform::http_response take_over_answer(caller_request& request, request_plan& plan,
                                          const exchange_result& result)
 {
-    const bool is_promise =
-        steering::promises_not_run(result.response.result_int()) && !result.metadata.attempt.empty();
-    if (!is_promise) {
+    if (!is_promise(result)) {
         request.may_have_run = true;
         ++plan.send_count;
     }
@@ -207,6 +220,8 @@
         request->may_have_run = true;
         ++plan.send_count;
     }
+    request->at_most_once = plan.route->repeats != steering::repeat_policy::idempotent;
+    record_send(*request, peer.id, result, find_proof(result));
     co_return result;
 }
 
--- a/packages/edge/src/relay_send.cpp
+++ b/packages/edge/src/relay_send.cpp
@@ -40,6 +40,18 @@
                                                                : steering::target_outcome::success;
 }
 
+// What send_once's decision that the request has not run stands on.
+not_run_proof find_proof(const exchange_result& result)
+{
+    if (result.outcome == exchange_outcome::not_connected) {
+        return not_run_proof::not_connected;
+    }
+    if (result.metadata.replaced) {
+        return not_run_proof::replaced;
+    }
+    return result.metadata.not_run ? not_run_proof::rejected : not_run_proof::none;
+}
+
 steering::version_counts& counts_of(traffic_state& state, const request_plan& plan,
                                     const steering::target& target)
 {
@@ -250,6 +262,7 @@
         state.crashes.suspect_targets.insert(target.id);
     }
     const bool at_most_once = plan.route->repeats == steering::repeat_policy::at_most_once;
+    request->at_most_once = plan.route->repeats != steering::repeat_policy::idempotent;
     exchange_result result =
         co_await exchange(state.connections, target, std::move(message), request->metadata.attempt,
                           at_most_once, plan.deadline - start, request->active_exchange);
@@ -287,6 +300,7 @@
         steering::on_request_received(state.version_splits[plan.service], rule.next_share);
     }
     request->may_have_run = request->may_have_run || !never_ran;
+    record_send(*request, target.id, result, find_proof(result));
     ++(not_received ? plan.connect_failures : plan.send_count);
     plan.tried.push_back(target.id);
     // A request whose verdict has lapsed ends one target at most until the next one.
--- a/packages/edge/src/target_exchange.cpp
+++ b/packages/edge/src/target_exchange.cpp
@@ -105,7 +105,7 @@
 }
 
 // Returns null if the connection cannot be opened.
-asio::awaitable<target_connection_handle> open_connection(const connection_pool& pool,
+asio::awaitable<target_connection_handle> open_connection(connection_pool& pool,
                                                           const steering::target& target, duration limit,
                                                           boost::system::error_code& error)
 {
@@ -121,6 +121,7 @@
     opened->ip = target.ip;
     opened->port = target.port;
     opened->born_ms = target.born_ms;
+    opened->number = ++pool.opened;
     co_return opened;
 }
 
@@ -212,6 +213,7 @@
             co_return outcome;
         }
         outcome.clean = false;
+        ++result.skipped_answers;
     }
     co_return outcome;
 }
@@ -279,6 +281,8 @@
         co_return result;
     }
     handle->connection = connection;
+    result.connection = connection->number;
+    result.earlier_uses = connection->uses++;
     const bool without_body = request.method() == http::verb::head;
     auto write = std::make_shared<pending_write>();
     write->request = std::move(request);
--- a/packages/edge/src/target_exchange.hpp
+++ b/packages/edge/src/target_exchange.hpp
@@ -29,6 +29,8 @@
     time_point idle_since{};
     time_point idle_until{}; ///< Shortly before the target is expected to close it.
     bool was_used = false;
+    std::uint64_t number = 0; ///< Unique in its pool.
+    std::uint64_t uses = 0;   ///< Requests sent on it.
 };
 using target_connection_handle = std::shared_ptr<target_connection>;
 
@@ -37,6 +39,7 @@
     std::map<std::string, std::vector<target_connection_handle>> idle;
     std::size_t held_answer_bytes = 0; ///< Total size of the bodies that are being read.
     std::string egress_ip{};           ///< As in edge_settings.
+    std::uint64_t opened = 0;          ///< Number of connections opened so far.
 };
 
 /// Closes idle connections that have reached idle_until, and all connections to targets for which @p
@@ -69,6 +72,9 @@
     bool connection_lost = false; ///< It was closed or reset before the answer was complete.
     bool new_connection = false;
     duration connect_time{};
+    std::uint64_t connection = 0;      ///< target_connection::number; 0 if nothing was sent.
+    std::uint64_t earlier_uses = 0;    ///< Requests sent on the connection before.
+    std::uint64_t skipped_answers = 0; ///< Answers to other requests that were read.
 };
 
 /// Result of opening a connection.
--- a/packages/edge/src/traffic.hpp
+++ b/packages/edge/src/traffic.hpp
@@ -10,6 +10,7 @@
 #include "camphorknot/edge/settings.hpp"
 #include "camphorknot/kernel.hpp"
 #include "crash_watch.hpp"
+#include "send_record.hpp"
 #include "target_exchange.hpp"
 #include "views.hpp"
 
@@ -40,6 +41,9 @@
         false;              ///< At any target, by a send of this instance or of one that it was passed on to.
     bool from_peer = false; ///< Passed on by another instance, which has taken the token of the rate.
     unsigned sends_before = 0;                        ///< Made by that instance.
+    bool at_most_once = false;                        ///< It must not run twice. Set before a send.
+    std::vector<send_record> sends;                   ///< The first sends of this instance.
+    std::size_t unrecorded_sends = 0;                 ///< Further ones.
     std::shared_ptr<exchange_handle> active_exchange; ///< Null unless the request is at a target.
     std::shared_ptr<waiter> active_waiter;            ///< Null unless the request waits in a queue.
 };
