Edge: a failing test for refusals that stand on the answer to an earlier request

A target writes an earlier refusal once more while it runs the next request of the connection, whose own answer is then reset, cut off or never sent.

--- a/packages/edge/tests/edge_faulty_answer_test.cpp
+++ b/packages/edge/tests/edge_faulty_answer_test.cpp
@@ -68,6 +68,37 @@
     CHECK(runs >= 12);
 }
 
+// Guards against an earlier refusal that is taken as the proof that a request has not run whose own answer
+// does not come: the caller was told so, or the request was sent to a second target, after it had run.
+TEST_CASE("edge faulty answer: an earlier refusal proves nothing about a request whose own answer is missing")
+{
+    const auto own_answer = GENERATE(server_behavior::reset_after_read, server_behavior::silent,
+                                     server_behavior::cut_short, server_behavior::reset_unframed);
+    const int server_count = GENERATE(1, 2);
+    edge_fixture fixture(server_count);
+    for (auto& server : fixture.servers) {
+        server->repeats_refusal = refusal_repeat::during_next_request;
+        server->service_ms = 20;
+    }
+    std::size_t runs = 0;
+    for (int number = 0; number < 4; ++number) {
+        for (auto& server : fixture.servers) {
+            standins::set_script(*server, {server_behavior::shed, own_answer});
+        }
+        for (const std::string part : {"-refused", "-ran"}) {
+            const std::string attempt = "e" + std::to_string(number) + part;
+            const auto answer = fixture.ask(make_request(http::verb::post, "/seal/1", attempt, "basket"));
+            std::this_thread::sleep_for(30ms);
+            CAPTURE(static_cast<int>(own_answer), server_count, attempt, answer.result_int());
+            CHECK(fixture.runs_of(attempt) <= 1);
+            CHECK((fixture.runs_of(attempt) == 0 || !promises_not_run(answer)));
+            runs += fixture.runs_of(attempt);
+        }
+        std::this_thread::sleep_for(600ms); // Suspension of the targets after the failure.
+    }
+    CHECK(runs >= 2);
+}
+
 // Guards against an answer that is cut off anywhere in its head or body, and is passed on as a whole one.
 TEST_CASE("edge faulty answer: a connection that ends at any byte of an answer gives no success")
 {
