Edge: only the answer to a request can prove that it has not run

Callers were promised "not run" for requests that a target ran, and some of these requests ran at a second target (REFUSED, TWICE).

Cause: evidence that outlives its answer. read_answer stored the metadata of each answer in the result of the exchange, also of one that it skipped because it answers an earlier request. If the request's own answer was then reset, cut off or late, the result was broken or timed_out and still held not_run and replaced of the skipped one; send_once, may_retry and the count of sends read them whatever the outcome was.

Change: an exchange has an answer if and only if its outcome is answered, in an optional that all readers go through; answers to other requests are dropped where they are skipped. find_proof is the one place that says why a send is known not to have run. An answer without an id never proves it, also not if the request has none.

--- a/packages/edge/src/relay.cpp
+++ b/packages/edge/src/relay.cpp
@@ -52,8 +52,8 @@
             co_return make_final_answer(state, *request, plan, sent.result);
         }
         state.counters.retries->fetch_add(1, std::memory_order_relaxed);
-        if (sent.result.outcome == exchange_outcome::answered && !sent.result.metadata.not_run) {
-            plan.last_answer = platform::make_caller_answer(sent.result.response);
+        if (sent.result.answer && find_proof(sent.result) == not_run_proof::none) {
+            plan.last_answer = platform::make_caller_answer(sent.result.answer->response);
         }
     }
 }
--- a/packages/edge/src/relay_crashes.cpp
+++ b/packages/edge/src/relay_crashes.cpp
@@ -282,8 +282,9 @@
                    const exchange_result& result, time_point sent_at, time_point now)
 {
     constexpr unsigned first_failure_status = 500;
-    if (result.outcome == exchange_outcome::answered) {
-        if (!result.metadata.not_run && result.response.result_int() < first_failure_status) {
+    if (result.answer) {
+        const bool is_failure = result.answer->response.result_int() >= first_failure_status;
+        if (!is_failure && find_proof(result) == not_run_proof::none) {
             on_answered(state, *request, plan, target, now);
         }
         return;
--- a/packages/edge/src/relay_peers.cpp
+++ b/packages/edge/src/relay_peers.cpp
@@ -143,42 +143,40 @@
 void log_hop(traffic_state& state, const caller_request& request, const request_plan& plan,
              const std::string& peer, const exchange_result& result, duration elapsed)
 {
-    const bool is_answered = result.outcome == exchange_outcome::answered;
-    log_event_limited(state.log, is_answered ? log_severity::info : log_severity::warning,
+    log_event_limited(state.log, result.answer ? log_severity::info : log_severity::warning,
                       "request_passed_on",
                       {{"request", request.metadata.attempt},
                        {"service", plan.service},
                        {"to", peer},
                        {"end", std::string(name_of(result.outcome))},
-                       {"status", std::to_string(is_answered ? result.response.result_int() : 0)},
+                       {"status", std::to_string(result.answer ? result.answer->response.result_int() : 0)},
                        {"took_ms", to_ms(elapsed)}});
 }
 
 // Whether the answer of another instance promises that the request has not run. An answer that names no
 // request promises nothing.
-bool is_promise(const exchange_result& result)
+bool is_promise(const target_answer& answer)
 {
-    return result.outcome == exchange_outcome::answered &&
-           steering::promises_not_run(result.response.result_int()) && !result.metadata.attempt.empty();
+    return steering::promises_not_run(answer.response.result_int()) && !answer.metadata.attempt.empty();
 }
 
-not_run_proof find_proof(const exchange_result& result)
+not_run_proof find_peer_proof(const exchange_result& result)
 {
     if (result.outcome == exchange_outcome::not_connected) {
         return not_run_proof::not_connected;
     }
-    return is_promise(result) ? not_run_proof::peer_refusal : not_run_proof::none;
+    return result.answer && is_promise(*result.answer) ? not_run_proof::peer_refusal : not_run_proof::none;
 }
 
 // The answer of the other instance. A promise of it holds for its own sends only, see handle_request.
 platform::http_response take_over_answer(caller_request& request, request_plan& plan,
-                                         const exchange_result& result)
+                                         const target_answer& answer)
 {
-    if (!is_promise(result)) {
+    if (!is_promise(answer)) {
         request.may_have_run = true;
         ++plan.send_count;
     }
-    return platform::make_caller_answer(result.response);
+    return platform::make_caller_answer(answer.response);
 }
 
 // Whether the request may be passed on again after an exchange whose result is unknown.
@@ -221,7 +219,7 @@
         ++plan.send_count;
     }
     request->at_most_once = plan.route->repeats != steering::repeat_policy::idempotent;
-    record_send(*request, peer.id, result, find_proof(result));
+    record_send(*request, peer.id, result, find_peer_proof(result));
     co_return result;
 }
 
@@ -310,11 +308,11 @@
         }
         tried.push_back(peer->id);
         const exchange_result result = co_await send_to_peer(state, request, plan, *peer);
-        if (result.outcome == exchange_outcome::answered) {
-            if (result.response.result_int() < first_failure_status) {
+        if (result.answer) {
+            if (result.answer->response.result_int() < first_failure_status) {
                 steering::on_hop_served(state.reach[plan.service], peer->id, boot_now());
             }
-            co_return take_over_answer(*request, plan, result);
+            co_return take_over_answer(*request, plan, *result.answer);
         }
         if (result.outcome == exchange_outcome::abandoned) {
             co_return refuse(state, *request, bad_gateway, "caller_left", duration{},
--- a/packages/edge/src/relay_send.cpp
+++ b/packages/edge/src/relay_send.cpp
@@ -28,30 +28,21 @@
     case exchange_outcome::answered:
         break;
     }
-    if (result.metadata.replaced) {
+    if (!result.answer) {
+        return steering::target_outcome::failure;
+    }
+    if (result.answer->metadata.replaced) {
         return steering::target_outcome::replaced;
     }
-    if (result.metadata.not_run) {
+    if (result.answer->metadata.not_run) {
         return steering::target_outcome::shed;
     }
     // A refusal without a proof that the request has not run is a failure as well.
-    const unsigned status = result.response.result_int();
+    const unsigned status = result.answer->response.result_int();
     return status >= 500 || steering::promises_not_run(status) ? steering::target_outcome::failure
                                                                : steering::target_outcome::success;
 }
 
-// What send_once's decision that the request has not run stands on.
-not_run_proof find_proof(const exchange_result& result)
-{
-    if (result.outcome == exchange_outcome::not_connected) {
-        return not_run_proof::not_connected;
-    }
-    if (result.metadata.replaced) {
-        return not_run_proof::replaced;
-    }
-    return result.metadata.not_run ? not_run_proof::rejected : not_run_proof::none;
-}
-
 steering::version_counts& counts_of(traffic_state& state, const request_plan& plan,
                                     const steering::target& target)
 {
@@ -113,8 +104,8 @@
     if (outcome == steering::target_outcome::success || outcome == steering::target_outcome::abandoned) {
         return false;
     }
-    const bool never_ran = result.outcome == exchange_outcome::not_connected || result.metadata.not_run;
-    if (!never_ran && plan.route->repeats != steering::repeat_policy::idempotent) {
+    if (find_proof(result) == not_run_proof::none &&
+        plan.route->repeats != steering::repeat_policy::idempotent) {
         return false;
     }
     if (plan.send_count >= plan.route->max_targets || plan.connect_failures >= max_connect_failures) {
@@ -173,10 +164,10 @@
 void store_announcement(traffic_state& state, steering::target_state& chosen, const exchange_result& result,
                         time_point now)
 {
-    const platform::answer_metadata& metadata = result.metadata;
-    if (result.outcome != exchange_outcome::answered || metadata.replaced) {
+    if (!result.answer || result.answer->metadata.replaced) {
         return;
     }
+    const platform::answer_metadata& metadata = result.answer->metadata;
     if (metadata.quiet_time > duration{}) {
         keep_quiet(state, chosen, metadata.quiet_time, now);
     }
@@ -204,23 +195,23 @@
               const steering::target& target, const exchange_result& result, bool warm, duration elapsed,
               bool should_retry)
 {
-    const bool failed = result.outcome != exchange_outcome::answered || result.response.result_int() >= 400;
-    std::vector<log_field> fields = {
-        {"request", request.metadata.attempt},
-        {"route", plan.route->name},
-        {"service", plan.service},
-        {"target", target.id},
-        {"domain", target.failure_domain},
-        {"object", request.metadata.object.value_or("")},
-        {"end", std::string(name_of(result.outcome))},
-        {"status",
-         std::to_string(result.outcome == exchange_outcome::answered ? result.response.result_int() : 0)},
-        {"not_run", result.metadata.not_run ? "true" : "false"},
-        {"expected_warm", warm ? "true" : "false"},
-        {"new_connection", result.new_connection ? "true" : "false"},
-        {"took_ms", to_ms(elapsed)},
-        {"repeats", should_retry ? "true" : "false"},
-        {"configuration", std::to_string(plan.routes->source->version)}};
+    const unsigned status = result.answer ? result.answer->response.result_int() : 0;
+    const bool failed = !result.answer || status >= 400;
+    const bool is_rejected = result.answer && result.answer->metadata.not_run;
+    std::vector<log_field> fields = {{"request", request.metadata.attempt},
+                                     {"route", plan.route->name},
+                                     {"service", plan.service},
+                                     {"target", target.id},
+                                     {"domain", target.failure_domain},
+                                     {"object", request.metadata.object.value_or("")},
+                                     {"end", std::string(name_of(result.outcome))},
+                                     {"status", std::to_string(status)},
+                                     {"not_run", is_rejected ? "true" : "false"},
+                                     {"expected_warm", warm ? "true" : "false"},
+                                     {"new_connection", result.new_connection ? "true" : "false"},
+                                     {"took_ms", to_ms(elapsed)},
+                                     {"repeats", should_retry ? "true" : "false"},
+                                     {"configuration", std::to_string(plan.routes->source->version)}};
     if (result.outcome == exchange_outcome::broken) {
         const std::string_view customer =
             plan.customer == nullptr ? std::string_view() : std::string_view(plan.customer->name);
@@ -274,9 +265,9 @@
     const duration service_time = now - start - result.connect_time;
     const steering::target_outcome outcome = classify_outcome(result);
     std::optional<steering::target_load> load;
-    if (result.outcome == exchange_outcome::answered && result.metadata.load) {
-        load = {static_cast<double>(result.metadata.load->running),
-                static_cast<double>(result.metadata.load->waiting)};
+    if (result.answer && result.answer->metadata.load) {
+        load = {static_cast<double>(result.answer->metadata.load->running),
+                static_cast<double>(result.answer->metadata.load->waiting)};
     }
     steering::on_request_ended(state.pool, chosen, outcome, placement, service_time, now, load);
     if (chosen.entry.born_ms == target.born_ms) {
@@ -294,13 +285,13 @@
     }
     count_version_answer(state, plan, target, outcome, service_time, is_comparable);
     wake_waiter_for(state, plan.service, target.id);
-    const bool never_ran = result.outcome == exchange_outcome::not_connected || result.metadata.not_run;
-    const bool not_received = result.outcome == exchange_outcome::not_connected || result.metadata.replaced;
+    const not_run_proof proof = find_proof(result);
+    const bool not_received = proof == not_run_proof::not_connected || proof == not_run_proof::replaced;
     if (!rule.next.empty() && !not_received) {
         steering::on_request_received(state.version_splits[plan.service], rule.next_share);
     }
-    request->may_have_run = request->may_have_run || !never_ran;
-    record_send(*request, target.id, result, find_proof(result));
+    request->may_have_run = request->may_have_run || proof == not_run_proof::none;
+    record_send(*request, target.id, result, proof);
     ++(not_received ? plan.connect_failures : plan.send_count);
     plan.tried.push_back(target.id);
     // A request whose verdict has lapsed ends one target at most until the next one.
@@ -313,8 +304,8 @@
 platform::http_response make_final_answer(traffic_state& state, const caller_request& request,
                                           const request_plan& plan, const exchange_result& result)
 {
-    if (result.outcome == exchange_outcome::answered && !result.metadata.not_run) {
-        return platform::make_caller_answer(result.response);
+    if (result.answer && find_proof(result) == not_run_proof::none) {
+        return platform::make_caller_answer(result.answer->response);
     }
     if (result.outcome == exchange_outcome::abandoned) {
         return refuse(state, request, bad_gateway, "caller_left", duration{}, {{"service", plan.service}});
--- a/packages/edge/src/send_record.cpp
+++ b/packages/edge/src/send_record.cpp
@@ -32,7 +32,8 @@
         ++request.unrecorded_sends;
         return;
     }
-    request.sends.push_back({std::string(to), result.outcome, proof, result.metadata.attempt,
+    request.sends.push_back({std::string(to), result.outcome, proof,
+                             result.answer ? result.answer->metadata.attempt : std::string(),
                              result.connection, result.earlier_uses, result.skipped_answers});
 }
 
--- a/packages/edge/src/send_record.hpp
+++ b/packages/edge/src/send_record.hpp
@@ -12,23 +12,6 @@
 struct caller_request;
 struct traffic_state;
 
-/// Why a send is known not to have led to an execution.
-enum class not_run_proof : std::uint8_t {
-    none,          ///< It may have run.
-    not_connected, ///< Nothing was sent.
-    rejected,      ///< The target states that it did not execute the request.
-    replaced,      ///< Another server uses the target's address.
-    peer_refusal,  ///< The instance that the request was passed on to promises it.
-};
-
-/// @return the stable name of @p proof.
-constexpr std::string_view name_of(not_run_proof proof)
-{
-    constexpr std::array<std::string_view, 5> names = {"none", "not_connected", "rejected", "replaced",
-                                                       "peer_refusal"};
-    return names.at(static_cast<std::size_t>(proof));
-}
-
 /// One send of a request to a target or to another instance.
 struct send_record {
     std::string to; ///< Id of the target, or name of the instance.
--- a/packages/edge/src/target_exchange.cpp
+++ b/packages/edge/src/target_exchange.cpp
@@ -149,12 +149,22 @@
 
 struct read_outcome {
     boost::system::error_code error;
-    bool matches_request = false; ///< The answer is to this request.
-    bool clean = true;            ///< No answer to another request was skipped.
+    std::optional<target_answer> answer; ///< To this request; answers to others are not kept.
+    bool keep_alive = false;
+    std::uint64_t skipped_answers = 0; ///< To other requests.
 };
 
 using answer_parser = http::response_parser<http::string_body>;
 
+// Whether the answer is to the request with this id. An answer without an id on a new connection is, unless
+// it is a success or comes after an answer to another request.
+bool is_answer_to(const target_answer& answer, const std::string& attempt, bool is_first_on_connection)
+{
+    const std::string& answered = answer.metadata.attempt;
+    const bool is_success = answer.response.result_int() / 100 == 2;
+    return answered == attempt || (answered.empty() && is_first_on_connection && !is_success);
+}
+
 // Reads one message piece by piece and counts its body as held.
 asio::awaitable<boost::system::error_code>
 read_message(connection_pool& pool, target_connection_handle connection, answer_parser& parser)
@@ -176,8 +186,7 @@
 }
 
 asio::awaitable<read_outcome> read_answer(connection_pool& pool, target_connection_handle connection,
-                                          const std::string& attempt, bool without_body,
-                                          exchange_result& result, bool& keep_alive)
+                                          const std::string& attempt, bool without_body)
 {
     read_outcome outcome;
     int interim = 0;
@@ -197,29 +206,44 @@
             }
             continue;
         }
-        keep_alive = parser.keep_alive();
-        result.response = parser.release();
-        result.metadata = platform::read_answer_metadata(result.response);
-        const bool without_attempt =
-            result.metadata.attempt.empty() && !connection->was_used && outcome.clean;
-        const bool success = result.response.result_int() / 100 == 2;
-        outcome.matches_request = result.metadata.attempt == attempt || (without_attempt && !success);
-        if (without_attempt) {
-            // It may have been written before the request was read, and names no request that it refuses.
-            result.metadata.not_run = false;
-            result.metadata.replaced = false;
+        outcome.keep_alive = parser.keep_alive();
+        target_answer answer;
+        answer.response = parser.release();
+        answer.metadata = platform::read_answer_metadata(answer.response);
+        const bool is_first = !connection->was_used && outcome.skipped_answers == 0;
+        if (is_answer_to(answer, attempt, is_first)) {
+            if (answer.metadata.attempt.empty()) {
+                // It may have been written before the request was read, and names no request that it refuses.
+                answer.metadata.not_run = false;
+                answer.metadata.replaced = false;
+            }
+            outcome.answer = std::move(answer);
+            co_return outcome;
         }
-        if (outcome.matches_request || !keep_alive) {
+        ++outcome.skipped_answers;
+        if (!outcome.keep_alive) {
             co_return outcome;
         }
-        outcome.clean = false;
-        ++result.skipped_answers;
     }
     co_return outcome;
 }
 
 } // namespace
 
+not_run_proof find_proof(const exchange_result& result)
+{
+    if (result.outcome == exchange_outcome::not_connected) {
+        return not_run_proof::not_connected;
+    }
+    if (!result.answer) {
+        return not_run_proof::none;
+    }
+    if (result.answer->metadata.replaced) {
+        return not_run_proof::replaced;
+    }
+    return result.answer->metadata.not_run ? not_run_proof::rejected : not_run_proof::none;
+}
+
 void sweep_connections(connection_pool& pool, const std::function<bool(const std::string&)>& is_current,
                        time_point now)
 {
@@ -288,15 +312,14 @@
     write->request = std::move(request);
     connection->stream.expires_after(time_left);
     start_write(connection, write);
-    bool keep_alive = false;
-    const read_outcome outcome =
-        co_await read_answer(pool, connection, attempt, without_body, result, keep_alive);
+    read_outcome outcome = co_await read_answer(pool, connection, attempt, without_body);
     handle->connection.reset();
+    result.skipped_answers = outcome.skipped_answers;
     if (handle->abandoned) {
         result.outcome = exchange_outcome::abandoned;
         co_return result;
     }
-    if (outcome.error || !outcome.matches_request) {
+    if (!outcome.answer) {
         result.outcome =
             outcome.error == beast::error::timeout ? exchange_outcome::timed_out : exchange_outcome::broken;
         result.connection_lost = is_connection_loss(outcome.error);
@@ -305,11 +328,13 @@
         co_return result;
     }
     result.outcome = exchange_outcome::answered;
+    result.answer = std::move(outcome.answer);
     // Not reused with bytes after the answer, which belong to no request, nor with an unfinished request
     // body, which the target would take for the next request.
-    const bool reusable = keep_alive && write->done && outcome.clean && connection->buffer.size() == 0;
+    const bool reusable =
+        outcome.keep_alive && write->done && outcome.skipped_answers == 0 && connection->buffer.size() == 0;
     if (reusable) {
-        return_connection(pool, target.id, connection, result.metadata.keep_alive);
+        return_connection(pool, target.id, connection, result.answer->metadata.keep_alive);
     } else {
         close_connection(*connection);
     }
--- a/packages/edge/src/target_exchange.hpp
+++ b/packages/edge/src/target_exchange.hpp
@@ -6,6 +6,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,12 +65,17 @@
     return names.at(static_cast<std::size_t>(outcome));
 }
 
-struct exchange_result {
-    exchange_outcome outcome = exchange_outcome::not_connected;
+/// A complete answer to the request of the exchange.
+struct target_answer {
     platform::http_response response;
     platform::answer_metadata metadata;
-    std::string error;            ///< Why a `broken` exchange ended.
-    bool connection_lost = false; ///< It was closed or reset before the answer was complete.
+};
+
+struct exchange_result {
+    exchange_outcome outcome = exchange_outcome::not_connected;
+    std::optional<target_answer> answer; ///< Present if and only if the outcome is `answered`.
+    std::string error;                   ///< Why a `broken` exchange ended.
+    bool connection_lost = false;        ///< It was closed or reset before the answer was complete.
     bool new_connection = false;
     duration connect_time{};
     std::uint64_t connection = 0;      ///< target_connection::number; 0 if nothing was sent.
@@ -77,6 +83,27 @@
     std::uint64_t skipped_answers = 0; ///< Answers to other requests that were read.
 };
 
+/// Why a send is known not to have led to an execution.
+enum class not_run_proof : std::uint8_t {
+    none,          ///< It may have run.
+    not_connected, ///< Nothing was sent.
+    rejected,      ///< The target states that it did not execute the request.
+    replaced,      ///< Another server uses the target's address.
+    peer_refusal,  ///< The instance that the request was passed on to promises it.
+};
+
+/// @return the stable name of @p proof.
+constexpr std::string_view name_of(not_run_proof proof)
+{
+    constexpr std::array<std::string_view, 5> names = {"none", "not_connected", "rejected", "replaced",
+                                                       "peer_refusal"};
+    return names.at(static_cast<std::size_t>(proof));
+}
+
+/// @param result of an exchange with a target.
+/// @return the proof that the request of the exchange has not run there.
+not_run_proof find_proof(const exchange_result& result);
+
 /// Result of opening a connection.
 enum class connect_outcome : std::uint8_t {
     connected,
