Edge: the log of a send names its connection and the answers to other requests

A target that writes answers to earlier requests was visible only by the harm that they did. send_answered and send_failed have `connection` and, if there are any, `skipped_answers`; camphorknot_skipped_answers_total counts them.

The test's captured log moves to a header, for the tests of the send record.

--- a/packages/edge/src/relay_send.cpp
+++ b/packages/edge/src/relay_send.cpp
@@ -209,9 +209,13 @@
                                      {"not_run", is_rejected ? "true" : "false"},
                                      {"expected_warm", warm ? "true" : "false"},
                                      {"new_connection", result.new_connection ? "true" : "false"},
+                                     {"connection", std::to_string(result.connection)},
                                      {"took_ms", to_ms(elapsed)},
                                      {"repeats", should_retry ? "true" : "false"},
                                      {"configuration", std::to_string(plan.routes->source->version)}};
+    if (result.skipped_answers > 0) {
+        fields.push_back({"skipped_answers", std::to_string(result.skipped_answers)});
+    }
     if (result.outcome == exchange_outcome::broken) {
         const std::string_view customer =
             plan.customer == nullptr ? std::string_view() : std::string_view(plan.customer->name);
@@ -283,6 +287,7 @@
     if (result.new_connection) {
         state.counters.new_connections->fetch_add(1, std::memory_order_relaxed);
     }
+    state.counters.skipped_answers->fetch_add(result.skipped_answers, std::memory_order_relaxed);
     count_version_answer(state, plan, target, outcome, service_time, is_comparable);
     wake_waiter_for(state, plan.service, target.id);
     const not_run_proof proof = find_proof(result);
--- a/packages/edge/src/traffic.cpp
+++ b/packages/edge/src/traffic.cpp
@@ -207,6 +207,7 @@
     counters.answered = &counter(state.metric_registry, "camphorknot_target_answers_total", "");
     counters.retries = &counter(state.metric_registry, "camphorknot_retries_total", "");
     counters.new_connections = &counter(state.metric_registry, "camphorknot_target_connections_total", "");
+    counters.skipped_answers = &counter(state.metric_registry, "camphorknot_skipped_answers_total", "");
     counters.request_time = &latency(state.metric_registry, "camphorknot_request_seconds", "");
     counters.wait_time = &latency(state.metric_registry, "camphorknot_wait_seconds", "");
     counters.warm_time = &latency(state.metric_registry, "camphorknot_service_seconds", "object=\"warm\"");
--- a/packages/edge/src/traffic.hpp
+++ b/packages/edge/src/traffic.hpp
@@ -60,6 +60,7 @@
     std::atomic<std::uint64_t>* answered = nullptr;
     std::atomic<std::uint64_t>* retries = nullptr;
     std::atomic<std::uint64_t>* new_connections = nullptr;
+    std::atomic<std::uint64_t>* skipped_answers = nullptr; ///< Answers of targets to other requests.
     latency_histogram* request_time = nullptr;
     latency_histogram* wait_time = nullptr;
     latency_histogram* warm_time = nullptr; ///< At targets that were expected to hold the object.
--- a/packages/edge/tests/edge_explain_test.cpp
+++ b/packages/edge/tests/edge_explain_test.cpp
@@ -1,55 +1,14 @@
 // Faults visible to a caller, whose cause must follow from the log lines alone.
 #include <catch2/catch.hpp>
 
-#include <filesystem>
-#include <fstream>
-
-#include "camphorknot/client/explain.hpp"
-#include "camphorknot/kernel/log.hpp"
+#include "captured_log.hpp"
 #include "edge_fixture.hpp"
 
 using namespace edge_tests;
-using camphorknot::client::explanation;
 using standins::server_behavior;
 
 namespace {
 
-/// Writes the log of this process to a temporary directory.
-struct captured_log {
-    std::filesystem::path directory =
-        std::filesystem::temp_directory_path() / ("camphorknot-explain-" + std::to_string(::getpid()));
-
-    captured_log()
-    {
-        std::filesystem::remove_all(directory);
-        std::filesystem::create_directories(directory);
-        REQUIRE(camphorknot::open_log(directory.string()));
-    }
-    ~captured_log()
-    {
-        camphorknot::close_log();
-        std::filesystem::remove_all(directory);
-    }
-    captured_log(const captured_log&) = delete;
-    captured_log& operator=(const captured_log&) = delete;
-
-    explanation explain(const std::string& request) const
-    {
-        camphorknot::client::collected_logs logs;
-        std::ifstream log_file(directory / "camphorknotd.jsonl");
-        camphorknot::client::read_log(log_file, "edge-1", logs);
-        CHECK(logs.unreadable == 0);
-        return camphorknot::client::explain_request(logs.lines, request);
-    }
-
-    // Waits, since the log line of a request may be written after its answer.
-    std::string cause_of(const std::string& request) const
-    {
-        eventually([&] { return !explain(request).cause.empty(); });
-        return explain(request).cause;
-    }
-};
-
 caller_request unsafe_request(const std::string& attempt)
 {
     return make_request(http::verb::post, "/seal/1", attempt, "x");
