--- a/packages/edge/src/relay_peers.cpp
+++ b/packages/edge/src/relay_peers.cpp
@@ -207,6 +207,7 @@
     platform::http_request message =
         platform::make_peer_request(request->message, time_left - answer_margin, plan.send_count);
     request->active_exchange = std::make_shared<exchange_handle>();
+    request->at_most_once = plan.route->repeats != steering::repeat_policy::idempotent;
     exchange_result result =
         co_await exchange(state.peer_connections, peer, std::move(message), request->metadata.attempt,
                           at_most_once, time_left, request->active_exchange);
@@ -218,8 +219,7 @@
         request->may_have_run = true;
         ++plan.send_count;
     }
-    request->at_most_once = plan.route->repeats != steering::repeat_policy::idempotent;
-    record_send(*request, peer.id, result, find_peer_proof(result));
+    record_send(*request, send_receiver::instance, peer.id, result, find_peer_proof(result));
     co_return result;
 }
 
--- a/packages/edge/src/relay_send.cpp
+++ b/packages/edge/src/relay_send.cpp
@@ -296,7 +296,7 @@
         steering::on_request_received(state.version_splits[plan.service], rule.next_share);
     }
     request->may_have_run = request->may_have_run || proof == not_run_proof::none;
-    record_send(*request, target.id, result, proof);
+    record_send(*request, send_receiver::target, target.id, result, proof);
     ++(not_received ? plan.connect_failures : plan.send_count);
     plan.tried.push_back(target.id);
     // A request whose verdict has lapsed ends one target at most until the next one.
