Client: explain a refused request by its line refused_after_send alone

Under load the limit of 20 lines a second left out the lines request_refused and send_failed of a refused request, and explain found no cause, or one without a target. The sends that refused_after_send records now stand in for them: each is named with its proof, also if it answers another request or proves nothing.

In a run of 120 refused requests at one instance each is explained.

--- a/packages/client/src/explain.cpp
+++ b/packages/client/src/explain.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <sstream>
 
 namespace camphorknot::client {
 namespace {
@@ -233,18 +234,91 @@
            (status == "0" ? ", which did not answer." : ", which answered with status " + status + ".");
 }
 
+// The sends that lines "refused_after_send" record, each with its parts as the fields of a send's line.
+std::vector<log_line> find_recorded_sends(std::span<const log_line> request_lines)
+{
+    std::vector<log_line> sends;
+    for (const log_line& line : request_lines) {
+        std::istringstream recorded(line.event == "refused_after_send" ? field(line, "sends") : "");
+        for (std::string text; std::getline(recorded, text, ';');) {
+            log_line& send = sends.emplace_back(log_line{line.time, line.instance, "send_failed", {}});
+            std::istringstream parts(text);
+            for (std::string part; parts >> part;) {
+                const std::size_t name_end = part.find('=');
+                if (name_end != std::string::npos) {
+                    send.fields[part.substr(0, name_end)] = part.substr(name_end + 1);
+                }
+            }
+            send.fields["not_run"] = field(send, "proof") == "not_connected" ? "false" : "true";
+        }
+    }
+    return sends;
+}
+
+std::string describe_proof(const log_line& send)
+{
+    const std::string proof = field(send, "proof");
+    const std::string answered = field(send, "answer_to");
+    const bool is_peer = send.fields.contains("instance");
+    const std::string to =
+        is_peer ? "instance " + field(send, "instance") : "target " + field(send, "target");
+    std::string text = "the send to " + to + " ended as " + field(send, "end") + ", which proves nothing";
+    if (proof == "not_connected") {
+        return "no connection to " + to + " could be made";
+    }
+    if (proof == "rejected") {
+        text = to + " answered that it has not run it";
+    } else if (proof == "replaced") {
+        text = "another server answered at the address of " + to;
+    } else if (proof == "peer_refusal") {
+        text = to + " promised it";
+    }
+    if (answered.starts_with("other:")) {
+        text += " in an answer to request " + answered.substr(answered.find(':') + 1);
+    } else if (answered != "this" && proof != "none") {
+        text += " in an answer that names no request";
+    }
+    return text;
+}
+
+// The refusal as far as its line "refused_after_send" shows it.
+std::string describe_promise(const log_line& promise, std::span<const log_line> sends)
+{
+    std::string proofs;
+    for (const log_line& send : sends) {
+        proofs += (proofs.empty() ? ": " : "; ") + describe_proof(send);
+    }
+    if (number_in(promise, "unrecorded_sends") > 0) {
+        proofs += "; " + field(promise, "unrecorded_sends") + " further sends are not shown";
+    }
+    return "It was refused with status " + field(promise, "status") + ", which promises that it has not run" +
+           proofs + "." +
+           (field(promise, "send_running") == "true" ? " A send of it was still running." : "");
+}
+
 std::string describe_cause(std::span<const log_line> request_lines, std::span<const log_line> all_lines)
 {
+    const std::vector<log_line> recorded_sends = find_recorded_sends(request_lines);
+    const log_line* promise = nullptr;
     const log_line* refusal = nullptr;
     const log_line* send = nullptr;
     const log_line* hop = nullptr;
     bool caller_left = false;
+    // Stands in for the send's own line, which the limit may have left out.
+    for (const log_line& recorded : recorded_sends) {
+        send = recorded.fields.contains("target") ? &recorded : send;
+    }
     for (const log_line& line : request_lines) {
         hop = line.event == "request_passed_on" ? &line : hop;
         refusal = line.event == "request_refused" ? &line : refusal;
         send = line.event.starts_with("send_") ? &line : send;
+        promise = line.event == "refused_after_send" ? &line : promise;
         caller_left = caller_left || line.event == "caller_left";
     }
+    if (refusal == nullptr && promise != nullptr) {
+        return describe_promise(*promise, recorded_sends) +
+               (hop != nullptr ? describe_hop(*hop) : std::string());
+    }
     if (refusal == nullptr && send == nullptr && hop != nullptr) {
         return describe_hop(*hop).substr(1);
     }
@@ -307,6 +381,9 @@
         return result;
     }
     std::string target;
+    for (const log_line& send : find_recorded_sends(result.lines)) {
+        target = send.fields.contains("target") ? field(send, "target") : target;
+    }
     for (const log_line& line : result.lines) {
         target = line.fields.contains("target") ? field(line, "target") : target;
     }
--- a/packages/client/tests/client_explain_test.cpp
+++ b/packages/client/tests/client_explain_test.cpp
@@ -64,6 +64,57 @@
     CHECK(found.lines.front().event == "targets_unreachable");
 }
 
+// Guards against a refused request without a cause when the limit left out its other lines.
+TEST_CASE("explain: a refused request is explained by the line of its sends alone")
+{
+    collected_logs logs;
+    std::istringstream text(
+        R"({"time":"2026-01-01T00:00:01.0Z","event":"started","instance":"edge-1"}
+{"time":"2026-01-01T00:00:02.0Z","event":"target_seen","target":"i-8","draining":"false"}
+{"time":"2026-01-01T00:00:03.0Z","event":"refused_after_send","request":"r1","status":"503","at_most_once":"true","sends":"target=i-7 end=not_connected proof=not_connected; target=i-8 end=answered proof=rejected answer_to=this connection=5 earlier_uses=2 skipped_answers=0","unrecorded_sends":"0","send_running":"false"}
+{"time":"2026-01-01T00:00:04.0Z","event":"refused_after_send","request":"r2","status":"503","at_most_once":"true","sends":"target=i-7 end=answered proof=replaced answer_to=this connection=6 earlier_uses=0 skipped_answers=0; instance=edge-2 end=answered proof=peer_refusal answer_to=this connection=1 earlier_uses=0 skipped_answers=0","unrecorded_sends":"2","send_running":"false"}
+{"time":"2026-01-01T00:00:05.0Z","event":"refused_after_send","request":"r3","status":"503","at_most_once":"true","sends":"target=i-7 end=timed_out proof=rejected answer_to=other:r0 connection=6 earlier_uses=1 skipped_answers=1","unrecorded_sends":"0","send_running":"true"}
+{"time":"2026-01-01T00:00:06.0Z","event":"refused_after_send","request":"r4","status":"503","at_most_once":"true","sends":"target=i-7 end=broken proof=none answer_to=nothing connection=6 earlier_uses=1 skipped_answers=1","unrecorded_sends":"0","send_running":"false"}
+{"time":"2026-01-01T00:00:07.0Z","event":"refused_after_send","request":"r5","status":"503","at_most_once":"true","sends":"target=i-7 end=answered proof=rejected answer_to=nothing connection=6 earlier_uses=1 skipped_answers=0","unrecorded_sends":"0","send_running":"false"}
+{"time":"2026-01-01T00:00:08.0Z","event":"refused_after_send","request":"r6","status":"503","sends":"=; a;b==c proof"}
+)");
+    read_log(text, "a.jsonl", logs);
+    const std::string start = "It was refused with status 503, which promises that it has not run: ";
+    const explanation rejected = explain_request(logs.lines, "r1");
+    CHECK(rejected.cause ==
+          start + "no connection to target i-7 could be made; target i-8 answered that it has not run it.");
+    REQUIRE(rejected.lines.size() == 2);
+    CHECK(rejected.lines.front().event == "target_seen"); // The state of the last target.
+    CHECK(explain_request(logs.lines, "r2").cause ==
+          start + "another server answered at the address of target i-7; instance edge-2 promised it; "
+                  "2 further sends are not shown.");
+    CHECK(explain_request(logs.lines, "r3").cause ==
+          start + "target i-7 answered that it has not run it in an answer to request r0. "
+                  "A send of it was still running.");
+    CHECK(explain_request(logs.lines, "r4").cause ==
+          start + "the send to target i-7 ended as broken, which proves nothing.");
+    CHECK(explain_request(logs.lines, "r5").cause ==
+          start + "target i-7 answered that it has not run it in an answer that names no request.");
+    CHECK_FALSE(explain_request(logs.lines, "r6").cause.empty());
+}
+
+// Guards against a refusal that names no target since the limit left out the line of the send.
+TEST_CASE("explain: the reason of a refusal is completed from the line of its sends")
+{
+    collected_logs logs;
+    std::istringstream text(
+        R"({"time":"2026-01-01T00:00:03.0Z","event":"request_refused","request":"r1","reason":"target_shed","status":"503","service":"desk"}
+{"time":"2026-01-01T00:00:03.1Z","event":"refused_after_send","request":"r1","status":"503","sends":"target=i-8 end=answered proof=rejected answer_to=this connection=5 earlier_uses=2 skipped_answers=0"}
+{"time":"2026-01-01T00:00:04.0Z","event":"request_refused","request":"r2","reason":"no_target","status":"503","service":"desk"}
+{"time":"2026-01-01T00:00:04.1Z","event":"refused_after_send","request":"r2","status":"503","sends":"target=i-7 end=not_connected proof=not_connected"}
+)");
+    read_log(text, "a.jsonl", logs);
+    CHECK(explain_request(logs.lines, "r1").cause ==
+          "The request was refused by target i-8 without running it, and no retry was left.");
+    CHECK(explain_request(logs.lines, "r2").cause ==
+          "No connection to target i-7 could be made, and no other target was left.");
+}
+
 TEST_CASE("explain: a condemned request is explained by the targets that ended, at all instances")
 {
     collected_logs logs;
--- a/packages/edge/tests/edge_explain_test.cpp
+++ b/packages/edge/tests/edge_explain_test.cpp
@@ -51,6 +51,31 @@
     }));
 }
 
+// Guards against requests that overload leaves without a cause, since the limit left out their lines.
+TEST_CASE("edge explain: each request that was refused after a send is explained, however many there are")
+{
+    const captured_log log;
+    edge_fixture fixture;
+    fixture.servers.front()->default_behavior = server_behavior::shed;
+    caller connection(fixture.settings.front.port);
+    constexpr int requests = 120;
+    for (int number = 0; number < requests; ++number) {
+        CHECK(connection.ask(unsafe_request("many-" + std::to_string(number))).result_int() == 503);
+    }
+    int without_refusal_line = 0;
+    for (int number = 0; number < requests; ++number) {
+        const std::string attempt = "many-" + std::to_string(number);
+        CAPTURE(attempt);
+        const std::string cause = log.cause_of(attempt);
+        CHECK_THAT(cause, Catch::Contains("target i-1"));
+        if (log.lines_of("request_refused", attempt).empty()) {
+            ++without_refusal_line;
+            CHECK_THAT(cause, Catch::Contains("target i-1 answered that it has not run it"));
+        }
+    }
+    CHECK(without_refusal_line > 0);
+}
+
 TEST_CASE("edge explain: an unknown key and an unknown route")
 {
     const captured_log log;
