--- a/packages/edge/tests/edge_send_record_test.cpp
+++ b/packages/edge/tests/edge_send_record_test.cpp
@@ -304,6 +304,24 @@
               "; " + start + "nothing" + end + "; " + start + "this" + end);
 }
 
+// Guards against lines that fill the buffer for a slow reader of the log, since their number is not limited.
+TEST_CASE("edge send record: the longest line is below 8 KiB")
+{
+    const std::string worst(std::size_t{16} * 1024, '"'); // Escaped in the line.
+    recorded_request sent(std::string(std::size_t{16} * 1024, '\1'));
+    edge::exchange_result result = rejected_by_answer_to(worst);
+    result.connection = result.earlier_uses = result.skipped_answers = ~std::uint64_t{0};
+    for (int number = 0; number < 100; ++number) {
+        edge::record_send(sent.request, edge::send_receiver::instance, worst, result,
+                          edge::not_run_proof::not_connected);
+    }
+    CHECK(sent.only_line().fields.at("unrecorded_sends") == "92");
+    const auto line_bytes = std::filesystem::file_size(sent.log.directory / "camphorknotd.jsonl");
+    CAPTURE(line_bytes);
+    CHECK(line_bytes < std::uintmax_t{8} * 1024);
+    CHECK(line_bytes > std::uintmax_t{4} * 1024);
+}
+
 // Guards against a refusal beside a running send that looks like one before any send.
 TEST_CASE("edge send record: a refusal while a send runs has a line")
 {
