Soak: servers write earlier answers once more while own answers are lost, cut off or late

Servers reject, serve, reset, cut off, delay and omit answers in a seeded order, and write refusals, in half of the cases successes too, once more on kept connections: during the next request, at once or after its answer. One window a second begins, of 1 to 4 s, beside the other faults. The draws come from a generator of their own.

--- a/tools/soak/faults.cpp
+++ b/tools/soak/faults.cpp
@@ -1,9 +1,11 @@
 #include "faults.hpp"
 
+#include <algorithm>
 #include <csignal>
 
 namespace soak {
 
+using standins::refusal_repeat;
 using standins::server_behavior;
 using standins::store_fault;
 
@@ -21,9 +23,14 @@
 
 namespace {
 
+double uniform_between(std::mt19937_64& random, double low, double high)
+{
+    return std::uniform_real_distribution<double>(low, high)(random);
+}
+
 double uniform_between(run_state& run, double low, double high)
 {
-    return std::uniform_real_distribution<double>(low, high)(run.random);
+    return uniform_between(run.random, low, high);
 }
 
 instance_process& random_instance(run_state& run)
@@ -180,6 +187,44 @@
     });
 }
 
+// Behaviors for the next requests: refusals and successes, which are written once more, among requests whose
+// own answers are lost, cut off or late.
+std::vector<server_behavior> make_repeat_script(std::mt19937_64& random)
+{
+    // Not reset_unframed: the proxies pass a reset on as an orderly end, which completes such an answer.
+    constexpr std::array behaviors = {
+        server_behavior::shed,      server_behavior::shed,   server_behavior::shed,
+        server_behavior::serve,     server_behavior::serve,  server_behavior::reset_after_read,
+        server_behavior::cut_short, server_behavior::silent, server_behavior::late};
+    constexpr std::size_t max_requests = 200;
+    std::vector<server_behavior> script(max_requests);
+    std::ranges::generate(script, [&] { return behaviors.at(random() % behaviors.size()); });
+    return script;
+}
+
+// The server writes earlier answers once more on kept connections, most of them while the next request runs.
+// A result that takes such an answer for its own is an untrue refusal or not a whole answer.
+void inject_repeated_answers(run_state& run)
+{
+    constexpr std::array repeats = {refusal_repeat::during_next_request, refusal_repeat::during_next_request,
+                                    refusal_repeat::at_once, refusal_repeat::after_next_answer};
+    constexpr std::uint64_t max_repeat_delay_ms =
+        30;                                     // Before and after the service time of 20 ms has passed.
+    constexpr std::uint64_t max_late_ms = 2000; // Some come after the routes' timeout of 1.5 s.
+    std::mt19937_64& random = run.repeat_random;
+    standins::server_standin& server = *run.fleet.servers.at(random() % run.fleet.servers.size()).server;
+    ++run.faults["repeated answers"];
+    server.repeats_success = random() % 2 == 0;
+    server.repeat_delay_ms = static_cast<int>(random() % max_repeat_delay_ms);
+    server.late_ms = static_cast<int>(random() % max_late_ms);
+    server.repeats_refusal = repeats.at(random() % repeats.size());
+    standins::set_script(server, make_repeat_script(random));
+    schedule_after(run, seconds(uniform_between(random, 1, 4)), [&server] {
+        standins::set_script(server, {});
+        server.repeats_refusal = refusal_repeat::never;
+    });
+}
+
 // All servers reject at the same time, some of them without a statement on execution: a request that ran at
 // one of them is rejected by the next, which did not run it.
 void inject_rejection_series(run_state& run)
@@ -278,6 +323,12 @@
         schedule_after(run, seconds(uniform_between(run, 3, fault_seconds)),
                        [&run] { inject_rejection_series(run); });
     }
+    // Two or three servers at a time do so.
+    const auto repeat_count = static_cast<int>(fault_seconds);
+    for (int index = 0; index < repeat_count; ++index) {
+        schedule_after(run, seconds(uniform_between(run.repeat_random, 3, fault_seconds)),
+                       [&run] { inject_repeated_answers(run); });
+    }
     if (run.random() % 2 == 0) {
         ++run.faults["fatal request"];
         schedule_after(run, seconds(uniform_between(run, 3, fault_seconds)),
--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -63,6 +63,9 @@
     schedule_after(run, total_time + 4s, [&context] { context.stop(); });
     context.run();
     end_processes(run.fleet);
+    for (const server_process& server : run.fleet.servers) {
+        run.faults["answer repeated"] += server.server->repeated_answers;
+    }
     check_run(run, start_time + std::chrono::duration_cast<clock::duration>(seconds(FLAGS_seconds) + 5s));
     std::printf("seed %llu: %zu requests, %zu broken; faults:", static_cast<unsigned long long>(seed),
                 run.callers.results.size(), run.violations.size());
--- a/tools/soak/run.hpp
+++ b/tools/soak/run.hpp
@@ -20,12 +20,14 @@
 
 struct run_state {
     run_state(boost::asio::io_context& context, std::uint64_t number)
-        : fleet{context, {}, {}, {}, {}, {}, {}, {}}, random(number)
+        : fleet{context, {}, {}, {}, {}, {}, {}, {}}, random(number), repeat_random(~number)
     {
     }
     deployment fleet;
     caller_log callers;
     std::mt19937_64 random;
+    std::mt19937_64
+        repeat_random; ///< Of the repeated answers, so that a seed's other faults don't depend on them.
     std::vector<std::shared_ptr<boost::asio::steady_timer>> timers;
     std::vector<std::pair<clock::time_point, int>> revoked; ///< Time of withdrawal and key number.
     std::vector<std::pair<clock::time_point, clock::time_point>>
