--- a/packages/edge/tests/edge_stale_effect_test.cpp
+++ b/packages/edge/tests/edge_stale_effect_test.cpp
@@ -129,6 +129,7 @@
     constexpr std::size_t callers = 6; // So many at a time that one target is too few.
     constexpr std::size_t asked_by_each = 30;
     std::vector<service_pair> services;
+    services.reserve(earlier.size());
     for (const earlier_answer& entry : earlier) {
         services.push_back({entry.name, "unsafe", 5000, 2});
     }
