--- a/packages/edge/tests/edge_unnamed_answer_test.cpp
+++ b/packages/edge/tests/edge_unnamed_answer_test.cpp
@@ -125,3 +125,26 @@
         CHECK((!has_id || answers.at(index).count("Earlier") == 0));
     }
 }
+
+// Guards against an answer to an earlier request that the caller of a request without an id gets as his.
+TEST_CASE("edge unnamed answer: an earlier answer does not reach the caller of a request without an id")
+{
+    pair_fixture fixture(services_of(1));
+    std::vector<caller_response> answers(fixture.services.size());
+    const std::string stale =
+        standins::format_answer(200, "", "earlier", "Earlier: 1\r\nServer-Signature: s-\r\n");
+    for_each_service(fixture, [&](std::size_t index) {
+        const service_pair& service = fixture.services.at(index);
+        for (int number = 0; number < 4; ++number) {
+            ask_unnamed(fixture, service, "before" + std::to_string(number));
+        }
+        standins::server_standin& server = *service.servers.front();
+        standins::set_script(server, {unnamed_cases().at(index).own_answer});
+        standins::set_stale_answers(server, {stale_time::during_execution, stale, 1, true});
+        answers.at(index) = ask_unnamed(fixture, service, "second");
+    });
+    for (std::size_t index = 0; index < answers.size(); ++index) {
+        CAPTURE(fixture.services.at(index).name, answers.at(index).result_int());
+        CHECK(answers.at(index).count("Earlier") == 0);
+    }
+}
