Edge: a request without an id is sent on a new connection

On a kept connection, the late answer to an earlier request without an id was passed on as the answer of the next one.

--- a/packages/edge/src/target_exchange.cpp
+++ b/packages/edge/src/target_exchange.cpp
@@ -289,7 +289,9 @@
 {
     exchange_result result;
     const time_point start = boot_now();
-    target_connection_handle connection = take_idle_connection(pool, target, at_most_once);
+    // Without an id, a late answer to an earlier request on the connection could not be told from its own.
+    target_connection_handle connection =
+        attempt.empty() ? nullptr : take_idle_connection(pool, target, at_most_once);
     if (connection == nullptr) {
         boost::system::error_code error;
         connection = co_await open_connection(pool, target, limit, error);
