--- a/packages/edge/tests/edge_send_record_test.cpp
+++ b/packages/edge/tests/edge_send_record_test.cpp
@@ -279,7 +279,7 @@
     CHECK(count_of(fields.at("sends"), "target=i-") == 8);
     CHECK(count_of(fields.at("sends"), "answer_to=this ") == 8);
     CHECK(fields.at("unrecorded_sends") == "4");
-    CHECK(fields.at("sends").size() < 8 * 300);
+    CHECK(fields.at("sends").size() < std::size_t{8} * 300);
 }
 
 // Guards against bytes of a faulty target that make the line unreadable or look like other sends.
