--- a/packages/edge/tests/edge_crash_test.cpp
+++ b/packages/edge/tests/edge_crash_test.cpp
@@ -430,3 +430,17 @@
     CHECK(fixture.arrivals_of("fatal").size() >= 3);
     CHECK(fixture.later_sends_of("fatal") <= max_later_sends);
 }
+
+// Guards against an earlier success, written before the target ends, that acquits the request which ends it.
+TEST_CASE("edge crash: answers to earlier requests acquit no request that ends its targets")
+{
+    crash_fixture fixture(6, 2);
+    const std::string earlier =
+        standins::format_answer(200, "earlier", "earlier", "Server-Signature: s-earlier\r\n");
+    for (auto& server : fixture.servers) {
+        standins::set_stale_answers(*server, {standins::stale_time::during_request_read, earlier, 1});
+    }
+    fixture.repeat(make_request(http::verb::get, "/find/fatal", "f"), 8s, 150ms);
+    CHECK(fixture.arrivals_of("fatal").size() >= 3);
+    CHECK(fixture.later_sends_of("fatal") <= max_later_sends);
+}
