--- a/packages/edge/tests/edge_dialect_test.cpp
+++ b/packages/edge/tests/edge_dialect_test.cpp
@@ -73,3 +73,23 @@
         CHECK(read_leaving(text).unreadable_headers == 1);
     }
 }
+
+// Guards against an unsafe request that is sent again, since the answer of a target that ran it bears the
+// header of a refusal.
+TEST_CASE("dialect: only a refusal can state that the request has not run")
+{
+    const auto states_not_run = [](unsigned status) {
+        http_response response;
+        response.result(status);
+        response.set("Not-Executed", "1");
+        return read_answer_metadata(response).not_run;
+    };
+    for (const unsigned status : {400U, 408U, 413U, 421U, 429U, 503U}) {
+        CAPTURE(status);
+        CHECK(states_not_run(status));
+    }
+    for (const unsigned status : {200U, 201U, 204U, 500U, 501U, 502U, 504U}) {
+        CAPTURE(status);
+        CHECK_FALSE(states_not_run(status));
+    }
+}
