Edge: a stop sends only what can be answered in time, and answers what is left

Cause: only the time of the first byte was compared with the stop time, the end did not wait for answers, and each signal restarted the stop.

Change: steering::stop_plan holds the times of a stop, all of them fractions or limits within the stop time, and the last time at which a request may be sent: one whose deadline lies before the end until its deadline; another one only if the longest recent answer on its route, with a reserve, fits into what is left. It is asked on arrival, before each send, after each wait and after a connect. At the end, waiting requests and incomplete ones are refused with 503, and requests at targets are answered with 504, before the process ends.

--- a/packages/decision/include/camphorknot/steering.hpp
+++ b/packages/decision/include/camphorknot/steering.hpp
@@ -16,6 +16,7 @@
 #include "camphorknot/steering/retry_budget.hpp"
 #include "camphorknot/steering/rollout_pacer.hpp"
 #include "camphorknot/steering/route_table.hpp"
+#include "camphorknot/steering/stop_plan.hpp"
 #include "camphorknot/steering/target_notices.hpp"
 #include "camphorknot/steering/target_pool.hpp"
 #include "camphorknot/steering/target_reach.hpp"
--- a/packages/edge/src/relay.cpp
+++ b/packages/edge/src/relay.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-// A stopping instance takes no requests later than this fraction of its stop time: it might have to break
-// them off at the end.
-constexpr double taking_fraction = 0.5;
 // Limit for the total size of the request bodies in memory; further requests with a body are refused.
 constexpr std::size_t max_held_body_bytes = std::size_t{48} * 1024 * 1024;
 // Retry-After of a process that has no configuration yet.
@@ -74,12 +71,6 @@
          {"keeper", rate_owner == state.view.demand.rate_owners.end() ? "divided" : rate_owner->second}});
 }
 
-bool is_too_late(const traffic_state& state, const caller_request& request)
-{
-    const std::chrono::duration<double> stop_time = state.settings.bounds.stop_time;
-    return state.stopping && request.arrived_at - state.stop_started_at > stop_time * taking_fraction;
-}
-
 // Takes a token of the customer's rate, locally or from the instance that owns the rate. Returns zero if it
 // was taken, else the time after which the caller may retry.
 asio::awaitable<duration> take_rate_token(traffic_state& state, std::shared_ptr<caller_request> request,
@@ -130,8 +121,8 @@
 asio::awaitable<platform::http_response> find_answer(traffic_state& state,
                                                      std::shared_ptr<caller_request> request)
 {
-    if (is_too_late(state, *request)) {
-        co_return refuse(state, *request, unavailable, "stopping", jittered_pause(state, short_retry_after));
+    if (!is_taken(state, *request)) {
+        co_return refuse_stopping(state, *request);
     }
     if (state.view.routes == nullptr) {
         co_return refuse(state, *request, unavailable, "configuration_missing",
@@ -163,6 +154,9 @@
     if (is_condemned_everywhere(state, *request, plan, request->arrived_at)) {
         co_return refuse_condemned(state, *request, plan, request->arrived_at);
     }
+    if (boot_now() > find_latest_send(state, plan, nullptr)) {
+        co_return refuse_stopping(state, *request);
+    }
     const std::string customer = plan.customer == nullptr ? std::string() : plan.customer->name;
     const bool takes_token = !customer.empty() && !request->from_peer;
     if (takes_token) {
--- a/packages/edge/src/relay.hpp
+++ b/packages/edge/src/relay.hpp
@@ -44,6 +44,21 @@
 /// weight.
 request_plan make_plan(traffic_state& state, const caller_request& request, const steering::route& route);
 
+/// @return the deadline for the final answer to a request on @p route: its caller's or the route's.
+time_point find_deadline(const caller_request& request, const steering::route& route);
+
+/// @return whether the request came early enough in the stop; true unless the instance stops.
+bool is_taken(const traffic_state& state, const caller_request& request);
+
+/// @param placement of the send; null if there is none yet.
+/// @return the last time at which the request may be sent, see steering::latest_send; time_point::max()
+/// unless the instance stops.
+time_point find_latest_send(const traffic_state& state, const request_plan& plan,
+                            const steering::placement* placement);
+
+/// @return the answer to a request that a stopping instance does not send. The caller is to go elsewhere.
+platform::http_response refuse_stopping(traffic_state& state, const caller_request& request);
+
 /// @return which versions of the service may get requests.
 version_rule find_version_rule(const traffic_state& state, const std::string& service);
 
--- a/packages/edge/src/relay_peers.cpp
+++ b/packages/edge/src/relay_peers.cpp
@@ -184,6 +184,7 @@
 {
     return plan.route->repeats == steering::repeat_policy::idempotent &&
            plan.send_count < plan.route->max_targets &&
+           boot_now() <= find_latest_send(state, plan, nullptr) &&
            steering::take_retry(state.retry_budgets[plan.service], state.settings.bounds,
                                 state.view.demand.possible, boot_now());
 }
@@ -207,13 +208,15 @@
     platform::http_request message =
         platform::make_peer_request(request->message, time_left - answer_margin, plan.send_count);
     request->active_exchange = std::make_shared<exchange_handle>();
+    request->active_exchange->send_by = find_latest_send(state, plan, nullptr);
     exchange_result result =
         co_await exchange(state.peer_connections, peer, std::move(message), request->metadata.attempt,
                           at_most_once, time_left, request->active_exchange);
     request->active_exchange.reset();
     log_hop(state, *request, plan, peer.id, result, boot_now() - start);
-    const bool is_lost =
-        result.outcome == exchange_outcome::broken || result.outcome == exchange_outcome::timed_out;
+    const bool is_lost = result.outcome == exchange_outcome::broken ||
+                         result.outcome == exchange_outcome::timed_out ||
+                         result.outcome == exchange_outcome::ended;
     if (is_lost) {
         request->may_have_run = true;
         ++plan.send_count;
@@ -306,6 +309,9 @@
         if (!peer || request->caller_left || plan.deadline - boot_now() <= answer_margin) {
             break;
         }
+        if (!request->may_have_run && boot_now() > find_latest_send(state, plan, nullptr)) {
+            co_return refuse_stopping(state, *request);
+        }
         tried.push_back(peer->id);
         const exchange_result result = co_await send_to_peer(state, request, plan, *peer);
         if (result.answer) {
@@ -318,7 +324,8 @@
             co_return refuse(state, *request, bad_gateway, "caller_left", duration{},
                              {{"service", plan.service}});
         }
-        is_timeout = result.outcome == exchange_outcome::timed_out;
+        is_timeout =
+            result.outcome == exchange_outcome::timed_out || result.outcome == exchange_outcome::ended;
         const bool may_have_arrived = result.outcome != exchange_outcome::not_connected;
         if (may_have_arrived && !may_pass_on_again(state, plan)) {
             break;
--- a/packages/edge/src/relay_search.cpp
+++ b/packages/edge/src/relay_search.cpp
@@ -150,6 +150,13 @@
                                                      uniform_real(state.random)));
 }
 
+time_point find_deadline(const caller_request& request, const steering::route& route)
+{
+    const duration time_left = request.metadata.deadline.value_or(default_deadline);
+    const duration limit = route.timeout > duration{} ? std::min(time_left, route.timeout) : time_left;
+    return request.arrived_at + limit;
+}
+
 request_plan make_plan(traffic_state& state, const caller_request& request, const steering::route& route)
 {
     request_plan plan;
@@ -159,9 +166,7 @@
     plan.random_key = state.random();
     plan.send_count = request.sends_before;
     plan.priority = route.priority;
-    const duration time_left = request.metadata.deadline.value_or(default_deadline);
-    const duration limit = route.timeout > duration{} ? std::min(time_left, route.timeout) : time_left;
-    plan.deadline = request.arrived_at + limit;
+    plan.deadline = find_deadline(request, route);
     if (route.object_affinity && request.metadata.object) {
         plan.object = hash_name(*request.metadata.object);
     }
@@ -190,6 +195,12 @@
             outcome.refusal = refuse_condemned(state, *request, plan, now);
             co_return outcome;
         }
+        const time_point send_by = find_latest_send(state, plan, &outcome.placement);
+        if (now > send_by) {
+            outcome.refusal = refuse_stopping(state, *request);
+            co_return outcome;
+        }
+        entry.refuse_at = std::min(entry.refuse_at, send_by);
         entry.target = plan.object && wanted != nullptr ? hash_name(wanted->entry.id) : 0;
         // Requests in the queue for the same target go first, unless this one was woken from it.
         const bool must_queue = !was_woken && steering::must_wait_behind(queue.order, entry);
--- a/packages/edge/src/relay_send.cpp
+++ b/packages/edge/src/relay_send.cpp
@@ -24,6 +24,7 @@
     case exchange_outcome::broken:
         return steering::target_outcome::failure;
     case exchange_outcome::abandoned:
+    case exchange_outcome::ended:
         return steering::target_outcome::abandoned;
     case exchange_outcome::answered:
         break;
@@ -97,6 +98,14 @@
     counted.failing_answers += slow || outcome != steering::target_outcome::success ? 1 : 0;
 }
 
+void record_service_time(traffic_state& state, const request_plan& plan, const exchange_result& result,
+                         steering::target_outcome outcome, duration service_time, time_point now)
+{
+    if (outcome == steering::target_outcome::success || result.outcome == exchange_outcome::timed_out) {
+        steering::on_service_time(state.longest_answers[{plan.service, plan.route->name}], service_time, now);
+    }
+}
+
 // Whether the request may be sent to another target after this outcome.
 bool may_retry(traffic_state& state, const request_plan& plan, const exchange_result& result,
                steering::target_outcome outcome, time_point now)
@@ -248,6 +257,7 @@
     forwarded.time_left = plan.deadline - start - answer_margin;
     platform::http_request message = platform::make_target_request(request->message, forwarded);
     request->active_exchange = std::make_shared<exchange_handle>();
+    request->active_exchange->send_by = find_latest_send(state, plan, &placement);
     const bool is_suspect = plan.is_suspect;
     if (is_suspect) {
         state.crashes.suspect_targets.insert(target.id);
@@ -284,6 +294,7 @@
         state.counters.new_connections->fetch_add(1, std::memory_order_relaxed);
     }
     count_version_answer(state, plan, target, outcome, service_time, is_comparable);
+    record_service_time(state, plan, result, outcome, service_time, now);
     wake_waiter_for(state, plan.service, target.id);
     const not_run_proof proof = find_proof(result);
     const bool not_received = proof == not_run_proof::not_connected || proof == not_run_proof::replaced;
@@ -319,6 +330,9 @@
                                                                         : "target_shed",
                       jittered_pause(state, short_retry_after), {{"service", plan.service}});
     }
+    if (result.outcome == exchange_outcome::ended) {
+        return refuse(state, request, gateway_timeout, "stopped", duration{}, {{"service", plan.service}});
+    }
     const bool is_timeout = result.outcome == exchange_outcome::timed_out;
     return refuse(state, request, is_timeout ? gateway_timeout : bad_gateway,
                   is_timeout ? "target_timeout" : "answer_lost", duration{}, {{"service", plan.service}});
--- a/packages/edge/src/sessions.cpp
+++ b/packages/edge/src/sessions.cpp
@@ -1,12 +1,13 @@
 // Callers' connections: reads their requests one at a time and writes the answers.
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 
+#include "relay.hpp"
 #include "sockets.hpp"
-#include "traffic.hpp"
 
 namespace camphorknot::edge {
 
@@ -24,9 +25,9 @@
 constexpr double min_bytes_per_s = 64 * 1024;
 // Period at which an idle connection checks whether the instance is stopping.
 constexpr duration stop_check_period = std::chrono::milliseconds(500);
-// A stopping instance keeps idle connections open for this long, until the directory's answers with its
-// address have expired.
-constexpr duration idle_limit_after_stop = std::chrono::milliseconds(2500);
+// A caller that sends the rest of a refused request gets the answer only if its bytes are read.
+constexpr duration max_discard_time = std::chrono::seconds(1);
+constexpr std::size_t max_discarded_bytes = std::size_t{4} * 1024 * 1024;
 // Limit for callers' connections; the other file descriptors are for targets, peers and the store.
 constexpr std::size_t max_sessions = 2500;
 
@@ -66,7 +67,10 @@
             co_return peek(connection->stream.socket()) == socket_state::readable;
         }
         const time_point now = boot_now();
-        const bool stop_due = state.stopping && now - state.stop_started_at > idle_limit_after_stop;
+        const bool stop_due = state.stop && now > state.stop->close_idle_at;
+        if (stop_due && peek(connection->stream.socket()) == socket_state::readable) {
+            co_return true; // A request came in the meantime.
+        }
         if (error != asio::error::operation_aborted || stop_due || now - idle_since > idle_limit) {
             co_return false;
         }
@@ -105,6 +109,78 @@
            error != http::error::end_of_stream && error != http::error::partial_message;
 }
 
+// Reads and drops what the caller still sends, until it closes the connection.
+asio::awaitable<void> discard_input(traffic_state& state, session_handle connection)
+{
+    boost::system::error_code error;
+    connection->stream.socket().shutdown(tcp::socket::shutdown_send, error);
+    const duration left = state.stop ? state.stop->end_at - boot_now() : max_discard_time;
+    connection->stream.expires_after(std::clamp(left, duration{}, max_discard_time));
+    std::size_t discarded = 0;
+    while (!error && discarded < max_discarded_bytes) {
+        connection->buffer.clear();
+        const auto space = connection->buffer.prepare(std::size_t{16} * 1024);
+        const std::size_t count = co_await connection->stream.async_read_some(
+            space, asio::redirect_error(asio::use_awaitable, error));
+        discarded += count;
+    }
+}
+
+// Answers a request that is not complete when a stopping instance could not send it any more.
+asio::awaitable<void> refuse_incomplete(traffic_state& state, session_handle connection,
+                                        std::shared_ptr<caller_request> request)
+{
+    platform::http_response answer = refuse_stopping(state, *request);
+    const auto error = co_await write_answer(connection, std::move(answer), false);
+    if (error) {
+        co_return;
+    }
+    co_await discard_input(state, connection);
+}
+
+// Lists a request as incoming while it is read, so that a stop can refuse it.
+class registered_read {
+public:
+    registered_read(traffic_state& state, const session_handle& connection,
+                    std::shared_ptr<caller_request> request)
+        : state_(state)
+    {
+        entry_ = state_.incoming.insert(
+            state_.incoming.end(),
+            {std::move(request), std::nullopt, [connection] { connection->stream.cancel(); }, false});
+    }
+    ~registered_read() { finish(); }
+    registered_read(const registered_read&) = delete;
+    registered_read& operator=(const registered_read&) = delete;
+    registered_read(registered_read&&) = delete;
+    registered_read& operator=(registered_read&&) = delete;
+
+    // The head is complete. Returns whether the rest is not worth reading.
+    bool refuse_now(std::string target)
+    {
+        entry_->target = std::move(target);
+        entry_->is_refused = entry_->is_refused || is_refused_by_stop(state_, *entry_, boot_now());
+        return entry_->is_refused;
+    }
+
+    // Returns whether the request was refused.
+    bool finish()
+    {
+        if (is_listed_) {
+            is_listed_ = false;
+            is_refused_ = entry_->is_refused;
+            state_.incoming.erase(entry_);
+        }
+        return is_refused_;
+    }
+
+private:
+    traffic_state& state_;
+    std::list<incoming_request>::iterator entry_;
+    bool is_listed_ = true;
+    bool is_refused_ = false;
+};
+
 // Reads one request. Returns null if the connection is to be closed; a malformed request has been answered by
 // then.
 asio::awaitable<std::shared_ptr<caller_request>> read_request(traffic_state& state, session_handle connection)
@@ -112,6 +188,7 @@
     const steering::caller_limits limits = current_limits(state);
     auto request = std::make_shared<caller_request>();
     request->arrived_at = boot_now();
+    registered_read reading(state, connection, request);
     request_parser parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.head_bytes));
     parser.body_limit(limits.body_bytes);
@@ -119,6 +196,12 @@
     connection->stream.expires_after(limits.head_timeout);
     co_await http::async_read_header(connection->stream, connection->buffer, parser,
                                      asio::redirect_error(asio::use_awaitable, error));
+    if (!error && !parser.is_done()) {
+        request->metadata = platform::read_request(parser.get());
+        if (reading.refuse_now(std::string(parser.get().target()))) {
+            error = asio::error::operation_aborted;
+        }
+    }
     if (!error && !parser.is_done()) {
         const double length = static_cast<double>(parser.content_length().value_or(limits.body_bytes));
         const auto transfer =
@@ -134,7 +217,12 @@
                                   asio::redirect_error(asio::use_awaitable, error));
     }
     connection->stream.expires_never();
+    const bool is_refused = reading.finish();
     if (error) {
+        if (is_refused && error == asio::error::operation_aborted) {
+            co_await refuse_incomplete(state, connection, request);
+            co_return nullptr;
+        }
         if (is_protocol_fault(error)) {
             const std::string fault = error.message();
             platform::http_response answer = refuse(state, *request, status_for_error(error),
@@ -192,6 +280,7 @@
     const std::size_t body_bytes = request->message.body().size();
     state.held_body_bytes += body_bytes;
     ++state.running_requests;
+    state.active_requests[request->id] = request;
     watch_caller(state, connection, request);
     platform::http_response answer = co_await handle_request(state, request);
     check_invariant(steering::is_true_status(answer.result_int(), request->may_have_run), promise::p7_not_run,
@@ -199,6 +288,7 @@
     boost::system::error_code ignored; // The watch may have ended already.
     connection->stream.socket().cancel(ignored);
     --state.running_requests;
+    state.active_requests.erase(request->id);
     state.held_body_bytes -= body_bytes;
     observe(*state.counters.request_time, boot_now() - request->arrived_at);
     if (request->caller_left) {
@@ -207,7 +297,7 @@
     if (request->message.method() == http::verb::head) {
         answer.body().clear();
     }
-    const bool keep_alive = caller_keeps_alive && !state.stopping;
+    const bool keep_alive = caller_keeps_alive && !state.stop;
     const auto error = co_await write_answer(connection, std::move(answer), keep_alive);
     co_return !error && keep_alive;
 }
--- a/packages/edge/src/target_exchange.cpp
+++ b/packages/edge/src/target_exchange.cpp
@@ -282,6 +282,14 @@
     }
 }
 
+void end_at_stop(exchange_handle& exchange)
+{
+    exchange.ended = true;
+    if (exchange.connection != nullptr) {
+        exchange.connection->stream.cancel();
+    }
+}
+
 asio::awaitable<exchange_result> exchange(connection_pool& pool, const steering::target& target,
                                           platform::http_request request, std::string attempt,
                                           bool at_most_once, duration limit,
@@ -304,6 +312,10 @@
     if (connection == nullptr || time_left <= duration{}) {
         co_return result;
     }
+    if (handle->ended || boot_now() > handle->send_by) {
+        return_connection(pool, target.id, connection, duration{});
+        co_return result;
+    }
     handle->connection = connection;
     result.connection = connection->number;
     result.earlier_uses = connection->uses++;
@@ -319,6 +331,11 @@
         result.outcome = exchange_outcome::abandoned;
         co_return result;
     }
+    if (!outcome.answer && handle->ended) {
+        result.outcome = exchange_outcome::ended;
+        close_connection(*connection);
+        co_return result;
+    }
     if (!outcome.answer) {
         result.outcome =
             outcome.error == beast::error::timeout ? exchange_outcome::timed_out : exchange_outcome::broken;
--- a/packages/edge/src/target_exchange.hpp
+++ b/packages/edge/src/target_exchange.hpp
@@ -55,13 +55,14 @@
     broken,        ///< It was sent, but no complete answer arrived: it may have run.
     timed_out,     ///< It was sent, but no complete answer arrived in time: it may have run.
     abandoned,     ///< The caller left, and the connection was closed to stop the target's work.
+    ended,         ///< It was sent, but the instance stops before the answer: it may have run.
 };
 
 /// @return the stable name of @p outcome.
 constexpr std::string_view name_of(exchange_outcome outcome)
 {
-    constexpr std::array<std::string_view, 5> names = {"answered", "not_connected", "broken", "timed_out",
-                                                       "abandoned"};
+    constexpr std::array<std::string_view, 6> names = {"answered",  "not_connected", "broken",
+                                                       "timed_out", "abandoned",     "ended"};
     return names.at(static_cast<std::size_t>(outcome));
 }
 
@@ -115,15 +116,20 @@
 boost::asio::awaitable<connect_outcome> open_idle_connection(connection_pool& pool,
                                                              const steering::target& target, duration limit);
 
-/// Allows an exchange to be abandoned while it runs.
+/// Allows an exchange to be abandoned or ended while it runs.
 struct exchange_handle {
     target_connection_handle connection;
     bool abandoned = false;
+    bool ended = false;                     ///< The instance stops; nothing is sent any more.
+    time_point send_by = time_point::max(); ///< If it is not connected by then, nothing is sent.
 };
 
 /// Resets the exchange's connection, so that the target stops its work.
 void abandon(exchange_handle& exchange);
 
+/// Ends the exchange without an answer, because the instance stops.
+void end_at_stop(exchange_handle& exchange);
+
 /// Sends @p request to @p target, over an idle connection if there is a usable one, and reads the answer.
 /// @param attempt id of the request; an answer with another id belongs to an earlier request.
 /// @param at_most_once the request must not run twice. Reuses only a connection with a short idle time: an
--- a/packages/edge/src/traffic.cpp
+++ b/packages/edge/src/traffic.cpp
@@ -17,14 +17,6 @@
 constexpr duration report_period = std::chrono::milliseconds(200);
 // An answer of a target is reflected in the views after this time.
 constexpr duration view_delay = std::chrono::seconds(1);
-// A stopping instance accepts connections for this fraction of its stop time, since callers use an answer of
-// the directory until it expires.
-constexpr double accepting_fraction = 0.6;
-// The stop ends this long before the platform ends the process by force.
-constexpr duration stop_margin = std::chrono::milliseconds(500);
-// A stop lasts at least this long, so that callers first receive other addresses from the directory.
-constexpr duration min_stop_time = std::chrono::milliseconds(3000);
-
 // Smoothed rate of the requests received from callers.
 float update_request_rate(traffic_state& state, time_point now)
 {
@@ -70,30 +62,6 @@
     return report;
 }
 
-duration scale_duration(duration value, double fraction)
-{
-    return duration(static_cast<std::int64_t>(static_cast<double>(value.count()) * fraction));
-}
-
-void check_stop(traffic_state& state, time_point now)
-{
-    const duration elapsed = now - state.stop_started_at;
-    const duration limit = state.settings.bounds.stop_time - stop_margin;
-    if (elapsed > scale_duration(state.settings.bounds.stop_time, accepting_fraction) &&
-        state.acceptor.is_open()) {
-        boost::system::error_code ignored; // A failure to close needs no handling.
-        state.acceptor.close(ignored);
-        state.relay_acceptor.close(ignored);
-    }
-    const bool idle = state.unfinished_requests == 0 && elapsed >= min_stop_time;
-    if ((idle || elapsed >= limit) && state.on_stopped) {
-        log_event(log_severity::info, "traffic_stopped",
-                  {{"running", std::to_string(state.running_requests)}});
-        state.on_stopped();
-        state.on_stopped = nullptr;
-    }
-}
-
 void tick(traffic_state& state)
 {
     const time_point now = boot_now();
@@ -107,9 +75,6 @@
     for (auto& [service, queue] : state.queues) {
         wake_waiters(state, service, queue.waiters.size());
     }
-    if (state.stopping) {
-        check_stop(state, now);
-    }
 }
 
 void schedule_tick(traffic_state& state)
@@ -276,14 +241,6 @@
     state.on_report(make_report(state, boot_now()));
 }
 
-void post_stop(traffic_state& state)
-{
-    asio::post(state.context, [&state] {
-        state.stopping = true;
-        state.stop_started_at = boot_now();
-    });
-}
-
 void join_traffic(traffic_state& state)
 {
     state.context.stop();
--- a/packages/edge/src/traffic.hpp
+++ b/packages/edge/src/traffic.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <list>
 #include <thread>
 
 #include "camphorknot/edge/settings.hpp"
@@ -48,6 +49,14 @@
     std::shared_ptr<waiter> active_waiter;            ///< Null unless the request waits in a queue.
 };
 
+/// A request that is being received.
+struct incoming_request {
+    std::shared_ptr<caller_request> request;
+    std::optional<std::string> target; ///< Of the request; empty before the head is complete.
+    std::function<void()> cancel;      ///< Ends the read.
+    bool is_refused = false;           ///< The instance stops, and the request could not be sent any more.
+};
+
 /// Requests of one service that wait for room at a target.
 struct service_queue {
     steering::wait_queue order;
@@ -77,6 +86,8 @@
     }
     const edge_settings& settings;
     metrics& metric_registry;
+    /// In the order of arrival. Outlives the context, whose reads remove themselves when it is destroyed.
+    std::list<incoming_request> incoming;
     boost::asio::io_context context{1};
     boost::asio::ip::tcp::acceptor acceptor{context};
     boost::asio::ip::tcp::acceptor relay_acceptor{context}; ///< For the requests of other instances.
@@ -108,8 +119,13 @@
     double request_rate = 0;                ///< Requests per second from callers, smoothed.
     std::uint64_t request_rate_counted = 0; ///< Requests up to the last update of the rate.
     time_point request_rate_updated_at{};
-    bool stopping = false;
-    time_point stop_started_at{};
+    /// Present from the stop signal on.
+    std::optional<steering::stop_plan> stop;
+    boost::asio::steady_timer stop_ticker{context};
+    std::map<std::pair<std::string, std::string>, steering::longest_answer>
+        longest_answers; ///< By service and route.
+    std::map<std::uint64_t, std::shared_ptr<caller_request>>
+        active_requests; ///< By id; without a final answer.
     log_limiter log;
     traffic_metrics counters;
     std::function<void(traffic_report)> on_report; ///< Sends a report to the control thread.
@@ -137,9 +153,13 @@
 void post_crash_reports(traffic_state& state, std::vector<steering::crash_report> reports);
 
 /// Begins a graceful stop: answers ask callers to close their connections. on_stopped is called when no
-/// request is in progress, or shortly before the stop time ends. Safe to call from any thread.
+/// request is in progress, or shortly before the stop time ends, after the requests in progress have been
+/// answered. Further calls have no effect. Safe to call from any thread.
 void post_stop(traffic_state& state);
 
+/// @return whether the instance stops and the request, which is not complete, could not be sent any more.
+bool is_refused_by_stop(const traffic_state& state, const incoming_request& incoming, time_point now);
+
 /// Stops and joins the thread.
 void join_traffic(traffic_state& state);
 
