--- a/tools/soak/callers.cpp
+++ b/tools/soak/callers.cpp
@@ -80,6 +80,11 @@
     result.status = response.result_int();
     result.condemned = response.body().find("request_condemned") != std::string::npos;
     result.has_valid_signature = standins::is_signed_answer(response, result.attempt);
+    if (result.status / 100 == 2 && !result.has_valid_signature) {
+        constexpr std::size_t max_body = 40;
+        result.unproved_answer =
+            std::string(response["Server-Signature"]) + " \"" + response.body().substr(0, max_body) + '"';
+    }
     co_return response.keep_alive();
 }
 
--- a/tools/soak/callers.hpp
+++ b/tools/soak/callers.hpp
@@ -23,6 +23,7 @@
     bool condemned = false; ///< Refused as a request that ends its targets.
     bool has_valid_signature =
         false; ///< Success with a complete body and the server's signature for this attempt.
+    std::string unproved_answer{}; ///< Signature and start of the body of a success without that.
 };
 
 struct caller_log {
--- a/tools/soak/checks.cpp
+++ b/tools/soak/checks.cpp
@@ -74,7 +74,9 @@
             report_violation(run, "innocent request", result.attempt + " at " + result.instance);
         }
         if (result.status / 100 == 2 && !result.has_valid_signature) {
-            report_violation(run, "whole answer", result.attempt + " from " + result.instance);
+            report_violation(run, "whole answer",
+                             result.attempt + " from " + result.instance + ": " +
+                                 std::to_string(result.status) + " " + result.unproved_answer);
         }
         if (result.status == 404 || (result.status == 401 && result.key_number == 0)) {
             report_violation(run, "denied",
