--- a/packages/edge/tests/edge_stop_test.cpp
+++ b/packages/edge/tests/edge_stop_test.cpp
@@ -250,10 +250,12 @@
     stop_fixture fixture(stop_time);
     learn_service_time(fixture, 30ms);
     fixture.begin_stop();
+    constexpr int caller_count = 6;
     std::vector<std::thread> threads;
+    threads.reserve(caller_count);
     std::atomic<int> answered{0};
     std::atomic<int> lost{0};
-    for (int number = 0; number < 6; ++number) {
+    for (int number = 0; number < caller_count; ++number) {
         threads.emplace_back([&, number] {
             int next = 0;
             try {
