--- a/packages/edge/src/traffic.cpp
+++ b/packages/edge/src/traffic.cpp
@@ -17,6 +17,7 @@
 constexpr duration report_period = std::chrono::milliseconds(200);
 // An answer of a target is reflected in the views after this time.
 constexpr duration view_delay = std::chrono::seconds(1);
+
 // Smoothed rate of the requests received from callers.
 float update_request_rate(traffic_state& state, time_point now)
 {
--- a/tools/soak/callers.cpp
+++ b/tools/soak/callers.cpp
@@ -83,7 +83,7 @@
     if (result.status / 100 == 2 && !result.has_valid_signature) {
         constexpr std::size_t max_body = 40;
         result.unproved_answer =
-            std::string(response["Server-Signature"]) + " \"" + response.body().substr(0, max_body) + '"';
+            std::string(standins::signature_of(response)) + " \"" + response.body().substr(0, max_body) + '"';
     }
     co_return response.keep_alive();
 }
