--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,11 +8,11 @@
 flags=(-std=c++20 -O1 -pthread -include cmake/asio_prelude.hpp -DBOOST_ASIO_NO_DEPRECATED
   -DBOOST_BEAST_USE_STD_STRING_VIEW -Wno-mismatched-new-delete -Iplatform/tests -Ireview/harness-2)
 sources=(platform/tests/standins/store_standin.cpp
-  platform/tests/standins/caller_standin.cpp review/harness-2/server.cpp review/harness-2/stage.cpp review/harness-2/cases.cpp)
+  platform/tests/standins/caller_standin.cpp review/harness-2/server.cc review/harness-2/stage.cc review/harness-2/cases.cc)
 objects=()
 pids=()
 for source in "${sources[@]}"; do
-  object=$out/$(basename "$source" .cpp).o
+  object=$out/$(basename "${source%.*}").o
   objects+=("$object")
   g++ "${flags[@]}" -c "$source" -o "$object" &
   pids+=($!)
--- a/review/harness-2/server.hpp
+++ b/review/harness-2/server.h
@@ -1,4 +1,5 @@
-// A small sound server: takes heads of any size, runs `slots` requests at a time, queues a few more and refuses the rest.
+// A small sound server: takes heads of any size, runs `slots` requests at a time, queues a few more and
+// refuses the rest.
 #pragma once
 
 #include <atomic>
@@ -22,11 +23,15 @@
     std::string id;
     unsigned slots;
     std::atomic<int> service_ms;
+    std::atomic<int> spoils_one_in{0};               ///< One in so many answers is spoiled; 0 for none.
+    std::atomic<std::size_t> spoiled_field_bytes{0}; ///< Size of the trailer field in a spoiled answer.
     std::uint16_t port = 0;
     std::mutex guard;
     std::condition_variable changed;
     unsigned running = 0;
     unsigned waiting = 0;
+    unsigned answers = 0;
+    unsigned spoiled = 0;
     std::vector<std::string> ran; ///< Ids of the attempts that began to run.
     std::atomic<bool> ended{false};
     int listener = -1;
--- a/review/harness-2/stage.hpp
+++ b/review/harness-2/stage.h
@@ -1,5 +1,5 @@
-// A small deployment on loopback for the scripts of this review: the store and the servers are the project's own
-// stand-ins, the instances are separate processes started with the command of the deploy file.
+// A small deployment on loopback for the scripts of this review: the store and the servers are the project's
+// own stand-ins, the instances are separate processes started with the command of the deploy file.
 #pragma once
 
 #include <atomic>
@@ -16,8 +16,8 @@
 
 #include <sys/types.h>
 
+#include "server.h"
 #include "standins/caller_standin.hpp"
-#include "server.hpp"
 #include "standins/store_standin.hpp"
 
 namespace review {
