--- a/review/harness-2/cases.cc
+++ b/review/harness-2/cases.cc
@@ -186,6 +186,160 @@
     return count_ends(scene, ends, peak) >= 2 ? broken : held;
 }
 
+// One request of an ordinary client, with its route's timeout.
+struct outcome {
+    double sent_s = 0;
+    asked answer;
+};
+
+// The crowd sends `safe` requests one after the other, each with a head of legal size: a long Connection
+// field and many short fields. Ordinary clients ask beside it.
+int run_tokens(stage& scene)
+{
+    constexpr double timeout_s = 2.5;
+    constexpr int crowd_size = 200;
+    const std::vector<standins::configured_route> routes = {
+        {"r-lookup", host, "/lookup/", "safe", "catalogue", timeout_s, 0.6}};
+    const std::vector<standins::configured_customer> customers = {{"yefi830", key}};
+    standins::put_configuration(*scene.store, standins::configuration_row(1, routes, customers));
+    for (int number = 1; number <= 12; ++number) {
+        scene.add_server("i-" + std::to_string(number), "catalogue", number % 2 == 0 ? "rvk-a" : "aku-a", 3,
+                         200);
+    }
+    scene.add_machine("edge-rvk-a-1", "rvk-a");
+    scene.add_machine("edge-aku-a-1", "aku-a");
+    if (!start_all(scene)) {
+        return not_run;
+    }
+    std::string connection_field = "Connection: keep-alive";
+    while (connection_field.size() < 8100) {
+        connection_field += ",a";
+    }
+    connection_field += "\r\n";
+    const auto end = steady::now() + 40s;
+    std::atomic<int> crowd_sent{0};
+    std::vector<std::thread> threads;
+    for (int number = 0; number < crowd_size; ++number) {
+        threads.emplace_back([&, number] {
+            int round = 0;
+            while (steady::now() < end) {
+                const std::string id = "c" + std::to_string(number) + "-" + std::to_string(++round);
+                std::string head = request_head("GET", "/lookup/" + id, host, id, key, 4000);
+                if (has_trouble()) {
+                    head += connection_field;
+                    while (head.size() + 6 <= 16300) {
+                        head += "b:\r\n";
+                    }
+                } else {
+                    head += "X-Note: " + std::string(16000, 'b') + "\r\n";
+                }
+                ++crowd_sent;
+                const asked seen = ask(scene.ip, scene.machines[static_cast<std::size_t>(number) % 2]->front,
+                                       head + "\r\n", 4s);
+                if (number % 20 == 0) { // One in twenty is enough for the record.
+                    scene.note(id + " of the crowd: status " + std::to_string(seen.status) + " after " +
+                               text(seen.took_s, 2) + " s");
+                }
+            }
+        });
+    }
+    std::mutex guard;
+    std::vector<outcome> ordinary;
+    pause(2s);
+    for (int number = 0; number < 60; ++number) {
+        threads.emplace_back([&, number] {
+            for (int round = 0; steady::now() < end - 8s; ++round) {
+                const std::string id = "o" + std::to_string(number) + "-" + std::to_string(round);
+                outcome seen;
+                seen.sent_s = std::chrono::duration<double>(steady::now() - scene.began).count();
+                seen.answer = ask(scene.ip, scene.machines[static_cast<std::size_t>(number) % 2]->front,
+                                  get("/lookup/" + id, id), 4s);
+                {
+                    const std::lock_guard lock(guard);
+                    ordinary.push_back(seen);
+                }
+                scene.note(id + " status " + std::to_string(seen.answer.status) + " after " +
+                           text(seen.answer.took_s, 2) + " s");
+                std::this_thread::sleep_for(milliseconds(500 + 37 * number % 500));
+            }
+        });
+    }
+    for (std::thread& caller : threads) {
+        caller.join();
+    }
+    int late = 0;
+    int unanswered = 0;
+    for (const outcome& seen : ordinary) {
+        if (seen.answer.took_s > timeout_s || seen.answer.status == 0) {
+            ++late;
+            unanswered += seen.answer.status == 0 || seen.answer.took_s > timeout_s + 0.5 ? 1 : 0;
+        }
+    }
+    for (const auto& each : scene.machines) {
+        scene.is_running(*each);
+    }
+    scene.note("crowd sent " + std::to_string(crowd_sent) + "; ordinary requests " +
+               std::to_string(ordinary.size()) + ", unanswered at their timeout " + std::to_string(late) +
+               ", of these without an answer 0.5 s later " + std::to_string(unanswered));
+    return unanswered >= 8 && 2 * unanswered > late ? broken : held;
+}
+
+// A client sends one field that is longer than 65,533 bytes, inside the limit for heads that the operator has
+// set.
+int run_field(stage& scene)
+{
+    constexpr std::size_t max_header_bytes = 131072;
+    const std::vector<standins::configured_route> routes = {
+        {"r-lookup", host, "/lookup/", "safe", "catalogue", 2.5, 0.6}};
+    const std::vector<standins::configured_customer> customers = {{"yefi830", key}};
+    std::string row = standins::configuration_row(1, routes, customers);
+    const std::string limits = "\"resource_kind\":\"limits\",\"spec\":{";
+    const std::size_t at = row.find(limits);
+    if (at == std::string::npos) {
+        return not_run;
+    }
+    row.insert(at + limits.size(),
+               "\"max_header_bytes\":" + std::to_string(max_header_bytes) +
+                   ",\"max_body_bytes\":67108864,\"header_timeout_s\":3,\"idle_timeout_s\":15");
+    standins::put_configuration(*scene.store, row);
+    for (int number = 1; number <= 4; ++number) {
+        scene.add_server("i-" + std::to_string(number), "catalogue", number % 2 == 0 ? "rvk-a" : "aku-a", 3,
+                         100);
+    }
+    scene.add_machine("edge-rvk-a-1", "rvk-a");
+    scene.add_machine("edge-aku-a-1", "aku-a");
+    if (!start_all(scene)) {
+        return not_run;
+    }
+    std::map<std::string, int> ends;
+    for (int round = 1; round <= 3; ++round) {
+        for (const auto& each : scene.machines) {
+            const std::string id = each->name + "-" + std::to_string(round);
+            const std::size_t length = has_trouble() ? 70'000 : 60'000;
+            const asked answer = ask(scene.ip, each->front,
+                                     request_head("GET", "/lookup/" + id, host, id, key, 4000) +
+                                         "X-Note: " + std::string(length, 'a') + "\r\n\r\n",
+                                     4s);
+            scene.note(id + ": head of " + std::to_string(length + 200) + " bytes, status " +
+                       std::to_string(answer.status));
+            pause(500ms);
+            if (!scene.is_running(*each)) {
+                ++ends[each->name];
+                scene.start(*each);
+                if (!scene.wait_until_ready(*each, 15s)) {
+                    return not_run;
+                }
+            }
+        }
+    }
+    int machines_with_three = 0;
+    for (const auto& each : scene.machines) {
+        scene.note(each->name + ": ends " + std::to_string(ends[each->name]));
+        machines_with_three += ends[each->name] >= 3 ? 1 : 0;
+    }
+    return machines_with_three >= 2 ? broken : held;
+}
+
 // A faulty server ends some of its answers with a trailer field that is longer than 65,533 bytes.
 int run_trailer(stage& scene)
 {
@@ -199,8 +353,7 @@
         const bool is_first = number <= 6;
         server& added = scene.add_server("i-" + std::to_string(number), is_first ? "catalogue" : "sealdesk",
                                          number % 2 == 0 ? "rvk-a" : "aku-a", 3, 200);
-        if (is_first && number <= 2) { // A third of the service's servers, one in fifty of their answers.
-            added.spoils_one_in = 50;
+        if (is_first && number <= 2) {
             added.spoiled_field_bytes = has_trouble() ? 70'000 : 60'000;
         }
     }
@@ -218,6 +371,18 @@
     std::vector<std::string> lost;
     const auto end = steady::now() + 60s;
     std::vector<std::thread> clients;
+    // Four times, for 6 s each: two of the six servers of the service spoil one answer in ten.
+    clients.emplace_back([&] {
+        for (int spell = 0; spell < 4; ++spell) {
+            pause(6s);
+            for (const int one_in : {10, 0}) {
+                scene.servers[0]->spoils_one_in = one_in;
+                scene.servers[1]->spoils_one_in = one_in;
+                scene.note(one_in > 0 ? "servers spoil answers" : "servers are sound");
+                pause(one_in > 0 ? 6s : 2s);
+            }
+        }
+    });
     for (int number = 0; number < 16; ++number) {
         clients.emplace_back([&, number] {
             for (int round = 0; steady::now() < end; ++round) {
@@ -349,7 +514,11 @@
 int main(int argc, char** argv)
 {
     const std::map<std::string, std::function<int(review::stage&)>> cases = {
-        {"heads", review::run_heads}, {"trailer", review::run_trailer}, {"directory", review::run_directory}};
+        {"heads", review::run_heads},
+        {"tokens", review::run_tokens},
+        {"field", review::run_field},
+        {"trailer", review::run_trailer},
+        {"directory", review::run_directory}};
     if (argc != 3 || !cases.contains(argv[1])) {
         std::fprintf(stderr, "usage: cases NAME RECORD\n");
         return 2;
