Tests: crowds at each port and for each part of a message, with their bounds

The crowds so far covered bodies and trailers at the callers' port. These cover heads, trailers, fields and chunk extensions while they are read, wait, are sent ahead and are sent on; the relay, directory, readiness, metrics and peers ports; answers of targets and of the store; connections that are silent or stop in the middle of a head; a reload and a stop.

They start the program on a machine of 112 MB and check that it lives, that memory and descriptors stay under a bound and that one ordinary request is answered. The bounds are those of the smallest machine, and a seventh of 700 descriptors that stays free. A plain server of the tests sends what no well-behaved target would.

--- a/packages/daemon/tests/crowd/crowd.cpp
+++ b/packages/daemon/tests/crowd/crowd.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <chrono>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sstream>
 #include <stdexcept>
 #include <sys/socket.h>
@@ -18,12 +19,12 @@
 
 using clock = std::chrono::steady_clock;
 
-int connect_to(const std::string& ip)
+int connect_to(const std::string& ip, std::uint16_t port)
 {
     const int opened = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_port = htons(front_port);
+    address.sin_port = htons(port);
     inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
     if (connect(opened, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
         close(opened);
@@ -60,12 +61,15 @@
 }
 
 void send_from_crowd(crowd& callers, const std::string& ip, std::size_t count, std::string_view text,
-                     std::size_t piece_bytes, std::size_t whole_count, std::size_t kept_back)
+                     std::size_t piece_bytes, std::size_t whole_count, std::size_t kept_back,
+                     std::uint16_t port, std::chrono::milliseconds pause)
 {
     std::vector<sender> senders;
     for (std::size_t number = 0; number < count; ++number) {
-        const int opened = connect_to(ip);
+        const int opened = connect_to(ip, port);
         if (opened >= 0) {
+            const int is_immediate = 1; // Each piece is sent at once.
+            setsockopt(opened, IPPROTO_TCP, TCP_NODELAY, &is_immediate, sizeof is_immediate);
             callers.sockets.push_back(opened);
             senders.push_back(
                 {opened, number < whole_count ? text : text.substr(0, text.size() - kept_back)});
@@ -78,6 +82,7 @@
             has_progress = send_piece(caller, piece_bytes) || has_progress;
         }
         std::erase_if(senders, [](const sender& caller) { return caller.left.empty(); });
+        std::this_thread::sleep_for(pause);
         if (has_progress) {
             progress_at = clock::now();
         } else {
@@ -86,6 +91,16 @@
     }
 }
 
+void connect_silent_crowd(crowd& callers, const std::string& ip, std::uint16_t port, std::size_t count)
+{
+    for (std::size_t number = 0; number < count; ++number) {
+        const int opened = connect_to(ip, port);
+        if (opened >= 0) {
+            callers.sockets.push_back(opened);
+        }
+    }
+}
+
 std::string make_head(const std::string& method, const std::string& fields)
 {
     return method +
@@ -94,6 +109,25 @@
            fields;
 }
 
+std::string make_archive_head(const std::string& method, const std::string& fields)
+{
+    return method +
+           " /archive/1 HTTP/1.1\r\nHost: seals.example\r\nAuthorization: Token key-one\r\n"
+           "Deadline-Ms: 60000\r\n" +
+           fields;
+}
+
+std::string make_short_fields(std::size_t size)
+{
+    constexpr std::string_view field = "a:\r\n";
+    std::string fields;
+    fields.reserve(size);
+    while (fields.size() + field.size() <= size) {
+        fields += field;
+    }
+    return fields;
+}
+
 std::string make_upload(std::string_view body, bool is_chunked)
 {
     if (!is_chunked) {
@@ -111,10 +145,10 @@
     return text.str();
 }
 
-unsigned ask_for_status(const std::string& ip, std::string_view request)
+unsigned ask_for_status(const std::string& ip, std::string_view request, std::uint16_t port)
 {
     crowd caller;
-    const int opened = connect_to(ip);
+    const int opened = connect_to(ip, port);
     if (opened < 0) {
         return 0;
     }
--- a/packages/daemon/tests/crowd/crowd_test.cpp
+++ b/packages/daemon/tests/crowd/crowd_test.cpp
@@ -2,45 +2,16 @@
 // machine; nothing that depends on the speed of the machine is checked.
 #include <catch2/catch.hpp>
 
-#include <chrono>
-#include <thread>
-
 #include "crowd.hpp"
-#include "process_fixture.hpp"
+#include "survival.hpp"
 
 using namespace crowd_tests;
 
 namespace {
 
-constexpr std::size_t mb = std::size_t{1024} * 1024;
-constexpr std::size_t max_resident_kb = std::size_t{112} * 1024;
-constexpr std::size_t max_descriptors = 2870;
 constexpr std::size_t lowered_max_body = 8 * mb;
 constexpr std::size_t piece_bytes = std::size_t{64} * 1024;
 
-// For the process to read what the kernel's buffers hold; only their sum shows the memory that is needed.
-constexpr std::chrono::seconds read_time(1);
-
-void check_bounds(const process_fixture& process)
-{
-    REQUIRE(process.is_alive());
-    const process_usage seen = process.usage();
-    WARN("VmHWM " << seen.peak_resident_kb << " kB, VmRSS " << seen.resident_kb << " kB, " << seen.descriptors
-                  << " descriptors");
-    CHECK(seen.resident_kb <= max_resident_kb);
-    CHECK(seen.peak_resident_kb <= max_resident_kb);
-    CHECK(seen.descriptors <= max_descriptors);
-}
-
-// Checks the bounds and the service while the crowd's connections are open.
-void check_survival(const process_fixture& process)
-{
-    std::this_thread::sleep_for(read_time);
-    check_bounds(process);
-    CHECK(process.serves_ordinary_request());
-    check_bounds(process);
-}
-
 std::string make_endless_trailers(std::size_t size)
 {
     std::string text = make_head("POST", "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n");
--- a/packages/daemon/tests/crowd/process_fixture.cpp
+++ b/packages/daemon/tests/crowd/process_fixture.cpp
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -14,16 +15,20 @@
 namespace crowd_tests {
 namespace {
 
-std::string configuration_row(std::size_t max_body_bytes)
+std::string configuration_row(const process_limits& limits)
 {
     return R"({"config_version":"00000001","resources":[
       {"resource_kind":"routes","metadata":{"name":"find"},"spec":{"host":"seals.example","prefix":"/find/",
         "route_type":"safe","timeout_s":60.0,"target_latency_s":0.6,"priority":2,"service":"desk","max_attempts":2}},
+      {"resource_kind":"routes","metadata":{"name":"archive"},"spec":{"host":"seals.example","prefix":"/archive/",
+        "route_type":"safe","timeout_s":60.0,"target_latency_s":30.0,"priority":2,"service":"archive","max_attempts":1}},
       {"resource_kind":"services","metadata":{"name":"desk"},"spec":{"health_path":"/health","max_conns":100}},
+      {"resource_kind":"services","metadata":{"name":"archive"},"spec":{"health_path":"/health","max_conns":5000}},
       {"resource_kind":"tenants","metadata":{"name":"gullfoss"},"spec":{"api_keys":["key-one"],"rate_per_s":0,
         "burst":0}},
-      {"resource_kind":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":)" +
-           std::to_string(max_body_bytes) + R"(,"header_timeout_s":10,"idle_timeout_s":30}}]})";
+      {"resource_kind":"limits","metadata":{},"spec":{"max_header_bytes":)" +
+           std::to_string(limits.max_head_bytes) + R"(,"max_body_bytes":)" +
+           std::to_string(limits.max_body_bytes) + R"(,"header_timeout_s":10,"idle_timeout_s":30}}]})";
 }
 
 void write_settings(const process_fixture& fixture)
@@ -34,15 +39,29 @@
     std::ofstream file(fixture.directory + "/settings.yaml");
     file << "instance: { name: edge-1, ip: " << fixture.instance_ip
          << ", failure_domain: rvk-a, region: rvk, memory_mb: 112 }\n"
-         << "listen: { front: " << address(front_port) << ", readiness: " << address(7301)
-         << ", directory: " << address(7302) << ", peers: " << address(7303) << ", metrics: " << address(7304)
-         << ", relay: " << address(7305) << " }\n"
+         << "listen: { front: " << address(front_port) << ", readiness: " << address(readiness_port)
+         << ", directory: " << address(directory_port) << ", peers: " << address(peers_port)
+         << ", metrics: " << address(metrics_port) << ", relay: " << address(relay_port) << " }\n"
          << "store: { address: \"" << fixture.network << ".1:" << fixture.store->port << "\" }\n"
          << "failure_domains: { rvk-a: rvk }\n"
          << "seeds: []\n";
 }
 
-pid_t start_program(const std::string& directory)
+// The row of a server with room for all requests of a crowd.
+std::string archive_row(const std::string& address)
+{
+    return R"({"service":"archive","address":")" + address +
+           R"(","zone":"rvk-a","config_version":"v1","slots":4000,"state":"ready","warmup_left_s":0,)"
+           R"("sequence":1,"born":100})";
+}
+
+void limit_descriptors(std::size_t count)
+{
+    const rlimit limit{count, count};
+    setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+pid_t start_program(const std::string& directory, std::size_t descriptors)
 {
     const std::string settings = "--settings=" + directory + "/settings.yaml";
     const std::string log_path = directory + "/log.jsonl";
@@ -52,6 +71,9 @@
         dup2(log, STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
         close_range(STDERR_FILENO + 1, ~0U, 0);
+        if (descriptors > 0) {
+            limit_descriptors(descriptors);
+        }
         execl(CAMPHORKNOTD_PROGRAM, CAMPHORKNOTD_PROGRAM, settings.c_str(), nullptr);
         _exit(127);
     }
@@ -67,18 +89,25 @@
 } // namespace
 
 process_fixture::process_fixture(std::size_t max_body_bytes)
+    : process_fixture(process_limits{max_body_bytes, process_limits{}.max_head_bytes, 0})
+{
+}
+
+process_fixture::process_fixture(const process_limits& limits)
     : network("127." + std::to_string(20 + ::getpid() / 250 % 200) + "." +
               std::to_string(1 + ::getpid() % 250)),
       instance_ip(network + ".101"), directory("/tmp/camphorknot-crowd-" + std::to_string(::getpid())),
-      store(standins::start_store(network + ".1", 0)), server(standins::start_server(network + ".3", "i-1"))
+      store(standins::start_store(network + ".1", 0)), server(standins::start_server(network + ".3", "i-1")),
+      archive(start_plain_server(network + ".4"))
 {
     std::filesystem::create_directories(directory);
-    standins::put_row(*store, "op", "config", configuration_row(max_body_bytes));
+    standins::put_row(*store, "op", "config", configuration_row(limits));
     const std::string server_address = network + ".3:" + std::to_string(server->port);
     standins::put_row(*store, "servers", "i-1",
                       standins::server_row("desk", server_address, "rvk-a", "v1", "ready", 0, 100));
+    standins::put_row(*store, "servers", "i-2", archive_row(network + ".4:" + std::to_string(archive->port)));
     write_settings(*this);
-    pid = start_program(directory);
+    pid = start_program(directory, limits.descriptors);
     if (!serves_ordinary_request()) {
         throw std::runtime_error("the program does not serve requests; see " + directory + "/log.jsonl");
     }
@@ -98,6 +127,16 @@
            ended.si_pid == 0;
 }
 
+bool process_fixture::ends_by_itself() const
+{
+    siginfo_t ended{};
+    for (int step = 0; step < 600 && ended.si_pid == 0; ++step) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        waitid(P_PID, static_cast<id_t>(pid), &ended, WEXITED | WNOHANG | WNOWAIT);
+    }
+    return ended.si_pid != 0 && ended.si_code == CLD_EXITED && ended.si_status == 0;
+}
+
 process_usage process_fixture::usage() const
 {
     const std::string process = "/proc/" + std::to_string(pid);
