Records: an entry names a target only by an IPv4 address

What callers saw: a request was refused with 503 (target_unreachable) although a server was there, beside entries of another writer whose address no connection can reach.

Cause: the decoder checked the port of an address only, so that "999.999.999.999:80", "[::1:80" and "desk.example:80" became targets. Each send to one fails at once and is tried elsewhere, but a request ends after three failed connections. The log of a failed run shows one request that was sent to just these three: send_failed i-odd-16, i-odd-18, i-odd-17 (not_connected), then request_refused target_unreachable. Which targets a request tries is random, so that the test failed at times; it isn't a matter of the machine's speed.

--- a/packages/edge/tests/edge_records_test.cpp
+++ b/packages/edge/tests/edge_records_test.cpp
@@ -159,6 +159,27 @@
         [&] { return fixture.ask(make_request(http::verb::get, "/find/1", "last")).result_int() == 401; }));
 }
 
+// Guards against requests that are sent to an entry whose address no connection can reach: a request that
+// tries three of them is refused.
+TEST_CASE("edge records: an entry whose address is no IPv4 address names no target")
+{
+    using camphorknot::platform::decode_target;
+    const auto entry = [](const std::string& address) {
+        return camphorknot::steering::record{
+            camphorknot::steering::collection::targets, "i-odd",
+            standins::server_row("desk", address, "rvk-a", "v1", "ready", 0, 100), 1, false};
+    };
+    CHECK(decode_target(entry("10.1.2.3:8080")));
+    for (const std::string address :
+         {"999.999.999.999:80", "[::1:80", "[::1]:80", "desk.example:80", "10.1.2:80", "0.0.0.0:80", ":80",
+          "10.1.2.3", "10.1.2.3:", "10.1.2.3:0", "10.1.2.3:65536", "10.1.2.3:8080 "}) {
+        CAPTURE(address);
+        const auto decoded = decode_target(entry(address));
+        CHECK_FALSE(decoded);
+        CHECK(decoded.reason.field == "address");
+    }
+}
+
 TEST_CASE("edge records: a draining server gets nothing more after a moment")
 {
     edge_fixture fixture(2);
