Messages: a parser and fields whose limits hold for what is kept

What callers saw: processes that end. One field of 70,000 bytes in a trailer of a target's or the store's answer, or in a head where max_header_bytes is above 64 KB, ends the process by SIGABRT; so do trailers, and a head without end that arrives in pieces which end within the first two bytes of a field, by memory.

Cause: Beast's fields keep a length in 16 bits and throw std::length_error out of the read's completion. Its parser stores trailers among the fields of the head, where no limit holds for them; and its limit for a head counts what it has not parsed yet, so that fields which are parsed as they come are never limited. Each stored field takes about 90 bytes more than its text.

Change: message_fields keeps the fields as the text that is written, with 16 bytes for each; message_parser counts the whole head, drops trailers and chunk extensions, and ends a message with an error code.

--- a/packages/edge/src/request_reader.cpp
+++ b/packages/edge/src/request_reader.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http.hpp>
 #include <utility>
 
+#include "camphorknot/platform/message_parser.hpp"
 #include "pipeline.hpp"
 #include "relay.hpp"
 #include "send_record.hpp"
@@ -38,7 +39,7 @@
 // Counted for each field of a head, in addition to its text.
 constexpr std::size_t field_overhead_bytes = 64;
 
-using request_parser = http::request_parser<platform::shared_body>;
+using platform::request_parser;
 
 unsigned status_for_error(const boost::system::error_code& error)
 {
@@ -356,9 +357,7 @@
     auto request = std::make_shared<caller_request>();
     request->arrived_at = boot_now();
     registered_read reading(state, connection, request);
-    request_parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(limits.head_bytes));
-    parser.body_limit(limits.body_bytes);
+    request_parser parser(limits.head_bytes, limits.body_bytes);
     input_outcome input = co_await read_head(state, connection, parser, limits);
     const bool has_head = !input.error && input.refusal == room_refusal::none;
     if (has_head && !parser.is_done()) {
--- a/packages/edge/src/target_exchange.cpp
+++ b/packages/edge/src/target_exchange.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http.hpp>
 
 #include "camphorknot/kernel.hpp"
+#include "camphorknot/platform/message_parser.hpp"
 #include "sockets.hpp"
 
 namespace camphorknot::edge {
@@ -17,7 +18,7 @@
 
 // Maximum size of an answer's body, which is held in memory; a larger one counts as broken.
 constexpr std::size_t max_answer_bytes = std::size_t{32} * 1024 * 1024;
-constexpr std::uint32_t max_answer_head_bytes = 16 * 1024;
+constexpr std::size_t max_answer_head_bytes = std::size_t{16} * 1024;
 // Interim answers (1xx) that are skipped before the connection is closed.
 constexpr int max_interim_answers = 16;
 // A target that does not accept a connection in this time counts as unreachable.
@@ -152,8 +153,6 @@
     std::uint64_t skipped_answers = 0; ///< To other requests.
 };
 
-using answer_parser = http::response_parser<platform::shared_body>;
-
 // Whether the answer is to the request with this id. An answer without an id on a new connection is, unless
 // it is a success or comes after an answer to another request.
 bool is_answer_to(const target_answer& answer, const std::string& attempt, bool is_first_on_connection)
@@ -183,7 +182,7 @@
 
 // Reads one message piece by piece and counts its body as held.
 asio::awaitable<boost::system::error_code>
-read_message(connection_pool& pool, target_connection_handle connection, answer_parser& parser)
+read_message(connection_pool& pool, target_connection_handle connection, platform::answer_parser& parser)
 {
     boost::system::error_code error;
     message_hold_handle hold;
@@ -204,9 +203,7 @@
     read_outcome outcome;
     int interim = 0;
     for (int skipped = 0; skipped <= max_stale_answers; ++skipped) {
-        answer_parser parser;
-        parser.header_limit(max_answer_head_bytes);
-        parser.body_limit(max_answer_bytes);
+        platform::answer_parser parser(max_answer_head_bytes, max_answer_bytes);
         parser.skip(without_body);
         outcome.error = co_await read_message(pool, connection, parser);
         if (outcome.error) {
