--- a/packages/edge/tests/message_parser_test.cpp
+++ b/packages/edge/tests/message_parser_test.cpp
@@ -181,6 +181,21 @@
     CHECK(fields.allocated_bytes() <= 4096 * (16 + 2 * 5) + 1024);
 }
 
+TEST_CASE("message fields: fields that any Connection field lists are not forwarded")
+{
+    http_request request;
+    request.insert("Connection", "keep-alive, X-Hop");
+    request.insert("connection", "x-other");
+    request.insert("X-HOP", "1");
+    request.insert("X-Other", "2");
+    request.insert("X-End", "3");
+    const http_request sent = make_target_request(request, {});
+    CHECK(sent.count("X-Hop") == 0);
+    CHECK(sent.count("X-Other") == 0);
+    CHECK(sent.count("Connection") == 0);
+    CHECK(sent["X-End"] == "3");
+}
+
 namespace {
 
 // A message of valid and spoiled parts.
