Memory of messages: heads are counted, and a part is kept for ordinary messages

What callers saw: processes over their memory, killed by the platform, by legal heads of 16 KB that wait for an answer or are sent ahead, and by answers of targets with such heads that wait for their turn or stop in a trailer.

Cause: the ledger counted bodies; a head was counted only for a request with a body, by its text and 64 bytes a field, and the limits for requests ahead counted names and values alone. Answers were counted by their bodies, and the input of a connection to a target (128 KB) not at all.

Change: each request is in the ledger from the first 4 KB of its head, or from its end, until it has been answered: 8 KB, twice what its fields have allocated (the copy for the target), and its body. An answer of 4 KB or more is counted with its fields and its input, which is limited to a head and 4 KB. Of the eighth of the budget without large messages, half is kept for messages of up to 32 KB, so that large heads leave room for ordinary requests.

--- a/packages/decision/include/camphorknot/steering/message_memory.hpp
+++ b/packages/decision/include/camphorknot/steering/message_memory.hpp
@@ -1,9 +1,10 @@
 /// @file
-/// Ledger of the memory that messages hold: request bodies from the first byte on, and answers of targets.
+/// Ledger of the memory that messages hold: requests with their heads, and answers of targets.
 ///
-/// Designed for callers outside of anyone's control: many bodies of legal size at once, whole or piece by
-/// piece, most of which stop short of their end and stay open. Large bodies cannot take the part that is kept
-/// for small ones, and a body without progress makes room for one that can be served.
+/// Designed for callers outside of anyone's control: many messages of legal size at once, whole or piece by
+/// piece, most of which stop short of their end and stay open. Large messages cannot take the part that is
+/// kept for small ones, nor these the part that is kept for ordinary ones, and a message without progress
+/// makes room for one that can be served.
 #pragma once
 
 #include <cstdint>
@@ -19,15 +20,18 @@
 struct memory_budget {
     std::size_t total = std::size_t{96} * 1024 * 1024;
     std::size_t kept_for_small = std::size_t{12} * 1024 * 1024; ///< Part of `total` without large messages.
-    std::size_t small_message = std::size_t{512} * 1024;        ///< Largest message that counts as small.
+    /// Part of `kept_for_small` that only ordinary messages take.
+    std::size_t kept_for_ordinary = std::size_t{6} * 1024 * 1024;
+    std::size_t small_message = std::size_t{512} * 1024;   ///< Largest message that counts as small.
+    std::size_t ordinary_message = std::size_t{32} * 1024; ///< Largest message that counts as ordinary.
     /// A body that has not received `progress_bytes` for this time may be given up for another one.
     duration stall_time = std::chrono::seconds(1);
     std::size_t progress_bytes = std::size_t{32} * 1024;
 };
 
 /// @param machine_mb memory of the machine in megabytes.
-/// @return two thirds of it for messages, an eighth of that without large ones. The rest is for the program
-/// and for its connections.
+/// @return two thirds of it for messages, an eighth of that without large ones, and a sixteenth with ordinary
+/// ones only. The rest is for the program and for its connections.
 memory_budget budget_of_machine(double machine_mb);
 
 enum class message_kind : std::uint8_t {
@@ -48,7 +52,8 @@
 struct message_memory {
     memory_budget budget;
     std::map<std::uint64_t, held_message> messages; ///< By id.
-    std::size_t small_bytes = 0;                    ///< Reserved for small messages.
+    std::size_t ordinary_bytes = 0;                 ///< Reserved for ordinary messages.
+    std::size_t small_bytes = 0;                    ///< Reserved for other small messages.
     std::size_t large_bytes = 0;                    ///< Reserved for large messages.
     std::uint64_t next_id = 1;
 };
--- a/packages/decision/src/steering/message_memory.cpp
+++ b/packages/decision/src/steering/message_memory.cpp
@@ -1,36 +1,59 @@
 #include "camphorknot/steering/message_memory.hpp"
 
 #include <algorithm>
+#include <array>
+#include <numeric>
 
 namespace camphorknot::steering {
 namespace {
 
 using entry = std::map<std::uint64_t, held_message>::value_type;
 
-/// Bytes by the class of the messages that hold them.
-struct class_sums {
-    std::size_t small = 0;
-    std::size_t large = 0;
-};
+// Messages by size, in ascending order.
+enum size_class : std::uint8_t { ordinary, small, large, size_class_count };
 
-bool is_large(const memory_budget& budget, std::size_t bytes)
+// Bytes by the class of the messages that hold them.
+using class_sums = std::array<std::size_t, size_class_count>;
+
+size_class class_of(const memory_budget& budget, std::size_t bytes)
 {
-    return bytes > budget.small_message;
+    if (bytes > budget.small_message) {
+        return large;
+    }
+    return bytes > budget.ordinary_message ? small : ordinary;
 }
 
-std::size_t& sum_of(class_sums& sums, const memory_budget& budget, std::size_t bytes)
+// What the messages of this class and of the larger ones may hold together.
+std::size_t limit_of(const memory_budget& budget, size_class smallest)
 {
-    return is_large(budget, bytes) ? sums.large : sums.small;
+    const std::array<std::size_t, size_class_count> kept = {0, budget.kept_for_ordinary,
+                                                            budget.kept_for_small};
+    return budget.total - kept.at(smallest);
 }
 
-bool has_room_for_large(const memory_budget& budget, const class_sums& sums)
+bool has_room(const memory_budget& budget, const class_sums& sums, size_class smallest)
 {
-    return sums.large <= budget.total - budget.kept_for_small;
+    const std::size_t bytes = std::accumulate(sums.begin() + smallest, sums.end(), std::size_t{0});
+    return bytes <= limit_of(budget, smallest);
 }
 
 bool has_room(const memory_budget& budget, const class_sums& sums)
 {
-    return sums.small + sums.large <= budget.total;
+    return has_room(budget, sums, large) && has_room(budget, sums, small) && has_room(budget, sums, ordinary);
+}
+
+class_sums sums_of(const message_memory& memory)
+{
+    return {memory.ordinary_bytes, memory.small_bytes, memory.large_bytes};
+}
+
+// The sums after a message has changed its size.
+class_sums sums_after_resize(const message_memory& memory, std::size_t before, std::size_t after)
+{
+    class_sums sums = sums_of(memory);
+    sums.at(class_of(memory.budget, before)) -= before;
+    sums.at(class_of(memory.budget, after)) += after;
+    return sums;
 }
 
 // The unfinished requests that may be given up for the message, longest without progress first.
@@ -51,35 +74,32 @@
     return candidates;
 }
 
-// Chooses messages to give up until the limits hold. Returns whether they do.
+// Chooses messages to give up until the limits hold, that for the largest messages first. Returns whether
+// they do.
 bool make_room(const memory_budget& budget, const std::vector<const entry*>& candidates, class_sums& sums,
                std::vector<std::uint64_t>& given_up)
 {
-    for (const entry* other : candidates) {
-        if (has_room_for_large(budget, sums)) {
-            break;
-        }
-        if (is_large(budget, other->second.bytes)) {
-            sums.large -= other->second.bytes;
-            given_up.push_back(other->first);
-        }
-    }
-    for (const entry* other : candidates) {
-        if (has_room(budget, sums)) {
-            break;
-        }
-        if (std::ranges::find(given_up, other->first) == given_up.end()) {
-            sum_of(sums, budget, other->second.bytes) -= other->second.bytes;
-            given_up.push_back(other->first);
+    for (const size_class smallest : {large, small, ordinary}) {
+        for (const entry* other : candidates) {
+            if (has_room(budget, sums, smallest)) {
+                break;
+            }
+            const size_class found = class_of(budget, other->second.bytes);
+            const bool is_chosen = std::ranges::find(given_up, other->first) != given_up.end();
+            if (found >= smallest && !is_chosen) {
+                sums.at(found) -= other->second.bytes;
+                given_up.push_back(other->first);
+            }
         }
     }
-    return has_room_for_large(budget, sums) && has_room(budget, sums);
+    return has_room(budget, sums);
 }
 
 void set_sums(message_memory& memory, const class_sums& sums)
 {
-    memory.small_bytes = sums.small;
-    memory.large_bytes = sums.large;
+    memory.ordinary_bytes = sums.at(ordinary);
+    memory.small_bytes = sums.at(small);
+    memory.large_bytes = sums.at(large);
 }
 
 } // namespace
@@ -89,6 +109,7 @@
     memory_budget budget;
     budget.total = static_cast<std::size_t>(machine_mb * 1024 * 1024 * 2 / 3);
     budget.kept_for_small = budget.total / 8;
+    budget.kept_for_ordinary = budget.total / 16;
     return budget;
 }
 
@@ -104,11 +125,8 @@
 bool resize_in_free_room(message_memory& memory, std::uint64_t id, std::size_t bytes)
 {
     held_message& held = memory.messages.at(id);
-    class_sums sums{memory.small_bytes, memory.large_bytes};
-    sum_of(sums, memory.budget, held.bytes) -= held.bytes;
-    sum_of(sums, memory.budget, bytes) += bytes;
-    const bool fits = has_room(memory.budget, sums) && has_room_for_large(memory.budget, sums);
-    if (held.is_given_up || !fits) {
+    const class_sums sums = sums_after_resize(memory, held.bytes, bytes);
+    if (held.is_given_up || !has_room(memory.budget, sums)) {
         return false;
     }
     held.bytes = bytes;
@@ -125,9 +143,7 @@
     if (decision.granted || held.is_given_up) {
         return decision;
     }
-    class_sums sums{memory.small_bytes, memory.large_bytes};
-    sum_of(sums, memory.budget, held.bytes) -= held.bytes;
-    sum_of(sums, memory.budget, bytes) += bytes;
+    class_sums sums = sums_after_resize(memory, held.bytes, bytes);
     const auto candidates = find_candidates(memory, message, now);
     if (!make_room(memory.budget, candidates, sums, decision.given_up)) {
         decision.given_up.clear();
@@ -165,9 +181,7 @@
 void remove_message(message_memory& memory, std::uint64_t id)
 {
     const auto found = memory.messages.find(id);
-    class_sums sums{memory.small_bytes, memory.large_bytes};
-    sum_of(sums, memory.budget, found->second.bytes) -= found->second.bytes;
-    set_sums(memory, sums);
+    set_sums(memory, sums_after_resize(memory, found->second.bytes, 0));
     memory.messages.erase(found);
 }
 
--- a/packages/edge/src/held_messages.cpp
+++ b/packages/edge/src/held_messages.cpp
@@ -6,7 +6,8 @@
 void show_held_bytes(const held_messages& held)
 {
     if (held.metrics.held_bytes != nullptr) {
-        const std::size_t bytes = held.ledger.small_bytes + held.ledger.large_bytes;
+        const std::size_t bytes =
+            held.ledger.ordinary_bytes + held.ledger.small_bytes + held.ledger.large_bytes;
         held.metrics.held_bytes->store(static_cast<std::int64_t>(bytes), std::memory_order_relaxed);
     }
 }
@@ -40,13 +41,10 @@
     show_held_bytes(held);
 }
 
-message_hold_handle hold_message(held_messages& held, steering::message_kind kind,
+message_hold_handle hold_message(held_messages& held, steering::message_kind kind, time_point now,
                                  std::function<void()> cancel_read)
 {
-    // Answers have no progress, so that the clock need not be read.
-    const bool has_progress = kind == steering::message_kind::request;
-    const std::uint64_t id =
-        steering::add_message(held.ledger, kind, has_progress ? boot_now() : time_point{});
+    const std::uint64_t id = steering::add_message(held.ledger, kind, now);
     if (cancel_read != nullptr) {
         held.cancel_reads.emplace(id, std::move(cancel_read));
     }
--- a/packages/edge/src/held_messages.hpp
+++ b/packages/edge/src/held_messages.hpp
@@ -43,8 +43,9 @@
 using message_hold_handle = std::shared_ptr<message_hold>;
 
 /// Adds a message without any bytes.
-/// @param cancel_read called if the message is given up for another one; null for answers.
-message_hold_handle hold_message(held_messages& held, steering::message_kind kind,
+/// @param now time of the start, from which the time without progress counts; of no use for answers.
+/// @param cancel_read called if the message is given up for another one; null for messages that are complete.
+message_hold_handle hold_message(held_messages& held, steering::message_kind kind, time_point now,
                                  std::function<void()> cancel_read);
 
 /// Reserves @p bytes in total. Ends the reads of the messages that are given up for it.
--- a/packages/edge/src/pipeline.cpp
+++ b/packages/edge/src/pipeline.cpp
@@ -56,11 +56,7 @@
 
 std::size_t size_of(const caller_request& request)
 {
-    std::size_t bytes = request.message.body().size() + request.message.target().size();
-    for (const auto& field : request.message) {
-        bytes += field.name_string().size() + field.value().size();
-    }
-    return bytes;
+    return request.message.body().size() + request.message.allocated_bytes();
 }
 
 void wake_all(pipeline& ahead)
--- a/packages/edge/src/request_reader.cpp
+++ b/packages/edge/src/request_reader.cpp
@@ -34,10 +34,10 @@
 constexpr std::size_t input_bytes = std::size_t{4} * 1024;
 // Input buffer for a large body, of which few are read at the same time.
 constexpr std::size_t large_input_bytes = std::size_t{16} * 1024;
-// Counted for each request with a body: its connection's buffer, its state and the parser.
+// Counted for each request: its connection's buffer, its state and the parser.
 constexpr std::size_t request_overhead_bytes = std::size_t{8} * 1024;
-// Counted for each field of a head, in addition to its text.
-constexpr std::size_t field_overhead_bytes = 64;
+// A head is held by the request and, while a target handles it, by its copy for the target.
+constexpr std::size_t head_copies = 2;
 
 using platform::request_parser;
 
@@ -189,14 +189,25 @@
     room_refusal refusal = room_refusal::none;
 };
 
-message_hold_handle hold_request(traffic_state& state, const session_handle& connection)
+message_hold_handle hold_request(traffic_state& state, const session_handle& connection, time_point now)
 {
-    return hold_message(state.messages, steering::message_kind::request, [connection] {
+    return hold_message(state.messages, steering::message_kind::request, now, [connection] {
         connection->is_cancel_due = connection->is_writing;
         cancel_read(*connection);
     });
 }
 
+// A request that is being read, and its reservation. Null while it is small and not complete.
+struct incoming_message {
+    request_parser parser;
+    message_hold_handle hold;
+};
+
+std::size_t count_head_bytes(const platform::http_request& head)
+{
+    return request_overhead_bytes + head_copies * head.allocated_bytes();
+}
+
 // The input buffer is full. Reserves a larger one, in addition to the other bytes that are held for the
 // request, and lets the read go on if there is room.
 void grow_input(session& connection, const message_hold& hold, std::size_t other_bytes,
@@ -214,39 +225,57 @@
     }
 }
 
-// Reads the head. One that does not fit into a small buffer is counted as held until it is complete.
+// Reads the head. One that does not fit into a small buffer is counted as held until it is complete, and so
+// are its fields.
 asio::awaitable<input_outcome> read_head(traffic_state& state, session_handle connection,
-                                         request_parser& parser, steering::caller_limits limits)
+                                         incoming_message& message, time_point started_at,
+                                         steering::caller_limits limits)
 {
     input_outcome outcome;
-    message_hold_handle hold;
     // Beast completes a read that starts with a full buffer inside its initiation, which a coroutine does not
     // survive.
     connection->buffer.max_size(connection->buffer.size() + input_bytes);
     limit_read(connection, limits.head_timeout);
-    const auto is_lost = [&] { return hold != nullptr && is_given_up(*hold); };
-    while (!outcome.error && !parser.is_header_done() && outcome.refusal == room_refusal::none &&
+    const auto hold_once = [&]() -> const message_hold& {
+        if (message.hold == nullptr) {
+            message.hold = hold_request(state, connection, started_at);
+        }
+        return *message.hold;
+    };
+    message.parser.check_growth([&](std::size_t allocated_bytes) {
+        return reserve(hold_once(), request_overhead_bytes + connection->buffer.max_size() + allocated_bytes);
+    });
+    const auto is_lost = [&] { return message.hold != nullptr && is_given_up(*message.hold); };
+    while (!outcome.error && !message.parser.is_header_done() && outcome.refusal == room_refusal::none &&
            !is_lost()) {
-        co_await http::async_read_header(connection->stream, connection->buffer, parser,
+        co_await http::async_read_header(connection->stream, connection->buffer, message.parser,
                                          asio::redirect_error(asio::use_awaitable, outcome.error));
         if (outcome.error == http::error::buffer_overflow) {
-            hold = hold == nullptr ? hold_request(state, connection) : hold;
-            grow_input(*connection, *hold, request_overhead_bytes, limits, outcome);
+            grow_input(*connection, hold_once(),
+                       request_overhead_bytes + message.parser.get().allocated_bytes(), limits, outcome);
+        } else if (outcome.error == asio::error::no_memory) {
+            outcome.refusal = room_refusal::at_head;
         }
     }
+    message.parser.check_growth(nullptr);
     if (is_lost()) {
         outcome.refusal = room_refusal::no_progress;
     }
     co_return outcome;
 }
 
-std::size_t count_head_bytes(const platform::http_request& head)
+// Counts a request without a body as held, until it has been answered.
+room_refusal hold_head(traffic_state& state, incoming_message& message, time_point started_at)
 {
-    std::size_t bytes = request_overhead_bytes + head.target().size();
-    for (const auto& field : head) {
-        bytes += field_overhead_bytes + field.name_string().size() + field.value().size();
+    if (message.hold == nullptr) {
+        message.hold = hold_message(state.messages, steering::message_kind::request, started_at, nullptr);
+    }
+    if (!reserve(*message.hold, count_head_bytes(message.parser.get()))) {
+        return room_refusal::at_head;
     }
-    return bytes;
+    complete(*message.hold);
+    message.parser.get().body().keep_with_bytes(message.hold);
+    return room_refusal::none;
 }
 
 // Limits the time for the body, and asks for it if the caller waits for that.
@@ -274,13 +303,17 @@
 
 // Reads the body piece by piece and counts it as held, until it is complete or has to be refused.
 asio::awaitable<input_outcome> read_body(traffic_state& state, session_handle connection,
-                                         request_parser& parser, steering::caller_limits limits,
+                                         incoming_message& message, steering::caller_limits limits,
                                          registered_read& reading)
 {
     input_outcome outcome;
+    request_parser& parser = message.parser;
     const std::size_t head_bytes = count_head_bytes(parser.get());
     const std::size_t length = static_cast<std::size_t>(parser.content_length().value_or(0));
-    const message_hold_handle hold = hold_request(state, connection);
+    if (message.hold == nullptr) {
+        message.hold = hold_request(state, connection, boot_now());
+    }
+    const message_hold_handle hold = message.hold;
     if (!reserve(*hold, head_bytes + length)) {
         outcome.refusal = room_refusal::at_head;
         co_return outcome;
@@ -357,15 +390,18 @@
     auto request = std::make_shared<caller_request>();
     request->arrived_at = boot_now();
     registered_read reading(state, connection, request);
-    request_parser parser(limits.head_bytes, limits.body_bytes);
-    input_outcome input = co_await read_head(state, connection, parser, limits);
+    incoming_message message{request_parser(limits.head_bytes, limits.body_bytes), nullptr};
+    request_parser& parser = message.parser;
+    input_outcome input = co_await read_head(state, connection, message, request->arrived_at, limits);
     const bool has_head = !input.error && input.refusal == room_refusal::none;
-    if (has_head && !parser.is_done()) {
+    if (has_head && parser.is_done()) {
+        input.refusal = hold_head(state, message, request->arrived_at);
+    } else if (has_head) {
         request->metadata = platform::read_request(parser.get());
         if (reading.refuse_now(std::string(parser.get().target()))) {
             input.error = asio::error::operation_aborted;
         } else {
-            input = co_await read_body(state, connection, parser, limits, reading);
+            input = co_await read_body(state, connection, message, limits, reading);
         }
     }
     const boost::system::error_code error = input.error;
@@ -375,6 +411,7 @@
     shrink_input(*connection);
     if (input.refusal != room_refusal::none) {
         parser.get().body().clear(); // Held no longer while the refusal is written.
+        message.hold.reset();
         co_await refuse_for_room(state, connection, request, input.refusal);
         co_return nullptr;
     }
--- a/packages/edge/src/target_exchange.cpp
+++ b/packages/edge/src/target_exchange.cpp
@@ -18,7 +18,8 @@
 
 // Maximum size of an answer's body, which is held in memory; a larger one counts as broken.
 constexpr std::size_t max_answer_bytes = std::size_t{32} * 1024 * 1024;
-constexpr std::size_t max_answer_head_bytes = std::size_t{16} * 1024;
+// An answer of which less is held is not counted.
+constexpr std::size_t min_counted_answer_bytes = std::size_t{4} * 1024;
 // Interim answers (1xx) that are skipped before the connection is closed.
 constexpr int max_interim_answers = 16;
 // A target that does not accept a connection in this time counts as unreachable.
@@ -98,6 +99,9 @@
     connection->idle_until =
         connection->idle_since + std::min(limit, std::max(default_idle_limit, keep_alive));
     connection->was_used = true;
+    if (connection->buffer.capacity() > min_counted_answer_bytes) {
+        connection->buffer.shrink_to_fit(); // It is empty, and not counted while the connection is idle.
+    }
     connection->stream.expires_never();
     idle.push_back(connection);
 }
@@ -167,32 +171,42 @@
     return status >= 100 && status < 600;
 }
 
-// Counts what the answer's body has allocated, for as long as it is held. Returns whether there is room.
-bool reserve_answer(connection_pool& pool, message_hold_handle& hold, platform::message_body& body)
+// Counts what the answer and the input of its connection have allocated, for as long as the answer is held.
+// Returns whether there is room.
+bool reserve_answer(connection_pool& pool, message_hold_handle& hold, platform::http_response& answer,
+                    std::size_t input_bytes)
 {
-    if (body.empty()) {
+    const std::size_t bytes = answer.body().capacity() + answer.allocated_bytes() + input_bytes;
+    if (hold == nullptr && bytes < min_counted_answer_bytes) {
         return true;
     }
     if (hold == nullptr) {
-        hold = hold_message(pool.messages, steering::message_kind::answer, nullptr);
-        body.keep_with_bytes(hold);
+        hold = hold_message(pool.messages, steering::message_kind::answer, time_point{}, nullptr);
+        answer.body().keep_with_bytes(hold);
     }
-    return reserve(*hold, body.capacity());
+    return reserve(*hold, bytes);
 }
 
-// Reads one message piece by piece and counts its body as held.
+// Reads one message piece by piece and counts it as held.
 asio::awaitable<boost::system::error_code>
 read_message(connection_pool& pool, target_connection_handle connection, platform::answer_parser& parser)
 {
     boost::system::error_code error;
     message_hold_handle hold;
-    while (!error && !parser.is_done()) {
+    bool has_room = true;
+    parser.check_growth([&](std::size_t /*allocated_bytes*/) {
+        return reserve_answer(pool, hold, parser.get(), connection->buffer.capacity());
+    });
+    while (!error && has_room && !parser.is_done()) {
         co_await http::async_read_some(connection->stream, connection->buffer, parser,
                                        asio::redirect_error(asio::use_awaitable, error));
-        if (!reserve_answer(pool, hold, parser.get().body())) {
-            pool.messages.metrics.dropped_answers->fetch_add(1, std::memory_order_relaxed);
-            error = http::error::body_limit;
-        }
+        has_room = error != asio::error::no_memory &&
+                   reserve_answer(pool, hold, parser.get(), connection->buffer.capacity());
+    }
+    parser.check_growth(nullptr);
+    if (!has_room) {
+        pool.messages.metrics.dropped_answers->fetch_add(1, std::memory_order_relaxed);
+        error = http::error::body_limit;
     }
     co_return error;
 }
--- a/packages/edge/src/target_exchange.hpp
+++ b/packages/edge/src/target_exchange.hpp
@@ -16,8 +16,10 @@
 
 namespace camphorknot::edge {
 
-/// Limit for the bytes of an answer that cannot be parsed yet.
-inline constexpr std::size_t max_unparsed_answer_bytes = std::size_t{128} * 1024;
+/// Limit for the head of an answer.
+inline constexpr std::size_t max_answer_head_bytes = std::size_t{16} * 1024;
+/// Limit for the bytes of an answer that cannot be parsed yet: a head, or a trailer of that size.
+inline constexpr std::size_t max_unparsed_answer_bytes = max_answer_head_bytes + std::size_t{4} * 1024;
 
 /// An open connection to a target.
 struct target_connection {
