Service ports: requests are limited, and refused with a status

What callers saw: one client that sends trailers or a chunk extension without end to the directory, readiness or metrics port takes the process over its memory within a second; one trailer of 70,000 bytes ends it.

Cause: these ports had an input buffer without a limit and Beast's parser, whose limits hold neither for trailers nor for chunk extensions.

Change: they read with the parser of the callers' port, and with an input buffer of 20 KB. A request that breaks a limit is answered with 400, 413 or 431 and its connection closed; before, it was closed without an answer.

--- a/packages/edge/src/service_ports.cpp
+++ b/packages/edge/src/service_ports.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http.hpp>
 
 #include "camphorknot/platform/dialect.hpp"
+#include "camphorknot/platform/message_parser.hpp"
 #include "control.hpp"
 #include "sockets.hpp"
 
@@ -24,10 +25,12 @@
 constexpr duration directory_time_to_live = std::chrono::milliseconds(2000);
 // Time for a request on these ports to arrive; this includes the idle time of the connection.
 constexpr duration request_timeout = std::chrono::seconds(10);
+// Limit for the head of a request, and for its body.
 constexpr std::size_t max_request_bytes = std::size_t{16} * 1024;
+// Holds a head of that size, or a trailer.
+constexpr std::size_t max_input_bytes = max_request_bytes + std::size_t{4} * 1024;
 
-using port_handler =
-    std::function<http::response<http::string_body>(const http::request<http::string_body>&)>;
+using port_handler = std::function<http::response<http::string_body>(const platform::http_request&)>;
 
 http::response<http::string_body> make_response(unsigned status, std::string body, std::string_view type)
 {
@@ -43,7 +46,7 @@
 }
 
 http::response<http::string_body> answer_directory(control_state& state,
-                                                   const http::request<http::string_body>& request)
+                                                   const platform::http_request& request)
 {
     const auto lookup = platform::read_directory_query(request.target());
     if (!lookup) {
@@ -60,7 +63,7 @@
 }
 
 http::response<http::string_body> answer_readiness(const control_state& state,
-                                                   const http::request<http::string_body>& request)
+                                                   const platform::http_request& request)
 {
     if (!platform::is_readiness_query(request.target())) {
         return make_response(404, "", "text/plain");
@@ -69,7 +72,7 @@
 }
 
 http::response<http::string_body> answer_metrics(const control_state& state,
-                                                 const http::request<http::string_body>& request)
+                                                 const platform::http_request& request)
 {
     if (request.target() != "/metrics") {
         return make_response(404, "", "text/plain");
@@ -77,24 +80,38 @@
     return make_response(200, metrics_page(state.metric_registry), "text/plain; version=0.0.4");
 }
 
+// Returns 0 for an error that no answer would reach.
+unsigned status_for_error(const boost::system::error_code& error)
+{
+    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+        return 431;
+    }
+    if (error == http::error::body_limit) {
+        return 413;
+    }
+    const bool is_fault = error.category() == make_error_code(http::error::end_of_stream).category() &&
+                          error != http::error::end_of_stream && error != http::error::partial_message;
+    return is_fault ? 400 : 0;
+}
+
 asio::awaitable<void> serve_connection(tcp::socket socket, std::shared_ptr<const port_handler> handler)
 {
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(max_input_bytes);
     bool keep_alive = true;
     while (keep_alive) {
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(max_request_bytes);
-        parser.body_limit(max_request_bytes);
+        platform::request_parser parser(max_request_bytes, max_request_bytes);
         stream.expires_after(request_timeout);
         boost::system::error_code error;
         co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        if (error) {
+        const unsigned fault = error ? status_for_error(error) : 0;
+        if (error && fault == 0) {
             break;
         }
-        const http::request<http::string_body> request = parser.release();
-        http::response<http::string_body> response = (*handler)(request);
-        keep_alive = request.keep_alive();
+        const platform::http_request request = parser.release();
+        http::response<http::string_body> response =
+            fault == 0 ? (*handler)(request) : make_response(fault, "", "text/plain");
+        keep_alive = fault == 0 && request.keep_alive();
         response.keep_alive(keep_alive);
         response.prepare_payload();
         co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, error));
@@ -130,7 +147,7 @@
 
 bool open_service_ports(control_state& state)
 {
-    using request_type = http::request<http::string_body>;
+    using request_type = platform::http_request;
     return open_port(state, state.settings.directory,
                      [&state](const request_type& request) { return answer_directory(state, request); }) &&
            open_port(state, state.settings.readiness,
