Ports: limits for connections, and ordinary callers get in when they are reached

What callers saw: nobody gets an answer while a crowd of silent connections, or of connections that stop in the middle of a head, stays at any port: the process has no descriptor left, and its accept loops use a whole core, as they try again at once. At the callers' port 2,500 such connections keep all others out.

Cause: only the callers' and the relay port had a limit for connections, a fixed one that took no account of the descriptors; a new connection beyond it was closed, whoever else was idle.

Change: limited_port counts the connections of each port, with limits that follow from the descriptors (RLIMIT_NOFILE, and the new setting instance.descriptors) and the memory of the machine. A new connection beyond the limit takes the place of one that is chosen by a pure decision, steering/connection_table: first one on which no complete request came and which makes no progress for a second, then one that is idle, then one that stopped in the middle of a request; only if there is none, it is refused. The accept loops are one function, which pauses for 50 ms after an error. An exception that leaves a connection's coroutine ends that connection and is logged. Metrics: camphorknot_open_connections, _refused_connections_total and _closed_connections_total for each port.

--- a/packages/decision/include/camphorknot/steering.hpp
+++ b/packages/decision/include/camphorknot/steering.hpp
@@ -6,6 +6,7 @@
 #include "camphorknot/steering/admission_cost.hpp"
 #include "camphorknot/steering/answer_promise.hpp"
 #include "camphorknot/steering/answer_speed.hpp"
+#include "camphorknot/steering/connection_table.hpp"
 #include "camphorknot/steering/crash_verdicts.hpp"
 #include "camphorknot/steering/fleet.hpp"
 #include "camphorknot/steering/front_selection.hpp"
--- a/packages/edge/include/camphorknot/edge/settings.hpp
+++ b/packages/edge/include/camphorknot/edge/settings.hpp
@@ -37,6 +37,8 @@
     std::vector<std::string> seeds; ///< Peer addresses of some instances, "ip:port"; may be out of date.
     steering::operating_bounds bounds;
     double memory_mb = 0; ///< Memory of the machine in megabytes; 0 if it is unknown.
+    /// Limit for open descriptors; 0 for that of the process only.
+    std::size_t descriptors = 0;
     usage_settings usage;
 };
 
--- a/packages/edge/src/control.hpp
+++ b/packages/edge/src/control.hpp
@@ -12,6 +12,7 @@
 #include "camphorknot/platform/records.hpp"
 #include "camphorknot/platform/store_client.hpp"
 #include "control_usage.hpp"
+#include "limited_port.hpp"
 #include "peer_network.hpp"
 #include "views.hpp"
 
@@ -41,6 +42,10 @@
     }
     edge_settings& settings;
     metrics& metric_registry;
+    // Outlive the context, whose connections remove themselves when it is destroyed.
+    limited_port directory_port;
+    limited_port readiness_port;
+    limited_port metrics_port;
     boost::asio::io_context context{1};
     boost::asio::steady_timer ticker{context};
     std::thread thread;
--- a/packages/edge/src/pipeline.cpp
+++ b/packages/edge/src/pipeline.cpp
@@ -1,7 +1,5 @@
 #include "pipeline.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -127,7 +125,7 @@
     const steering::pipeline_limits limits = find_limits(state);
     while (const auto number = steering::next_to_start(ahead->order, limits)) {
         steering::on_started(ahead->order, *number);
-        asio::co_spawn(state.context, run_follower(state, ahead, ahead->entries.at(*number)), asio::detached);
+        spawn_task(state.context, run_follower(state, ahead, ahead->entries.at(*number)), "follower");
     }
 }
 
@@ -328,8 +326,8 @@
     ahead->entries[first->id] = std::make_shared<pipelined_entry>(state, first);
     steering::add_read(ahead->order, first->id, is_idempotent(state, *first), size_of(*first));
     steering::on_started(ahead->order, first->id);
-    asio::co_spawn(state.context, read_ahead(state, connection, ahead, first->message.keep_alive()),
-                   asio::detached);
+    spawn_task(state.context, read_ahead(state, connection, ahead, first->message.keep_alive()),
+               "read_ahead");
 }
 
 asio::awaitable<bool> write_in_order(traffic_state& state, session_handle connection,
--- a/packages/edge/src/request_reader.cpp
+++ b/packages/edge/src/request_reader.cpp
@@ -36,6 +36,8 @@
 constexpr std::size_t large_input_bytes = std::size_t{16} * 1024;
 // Counted for each request: its connection's buffer, its state and the parser.
 constexpr std::size_t request_overhead_bytes = std::size_t{8} * 1024;
+// A connection whose request grows by this much makes progress.
+constexpr std::size_t progress_bytes = std::size_t{32} * 1024;
 // A head is held by the request and, while a target handles it, by its copy for the target.
 constexpr std::size_t head_copies = 2;
 
@@ -310,6 +312,7 @@
     request_parser& parser = message.parser;
     const std::size_t head_bytes = count_head_bytes(parser.get());
     const std::size_t length = static_cast<std::size_t>(parser.content_length().value_or(0));
+    std::size_t counted_progress = 0;
     if (message.hold == nullptr) {
         message.hold = hold_request(state, connection, boot_now());
     }
@@ -329,6 +332,10 @@
         co_await http::async_read_some(connection->stream, connection->buffer, parser,
                                        asio::redirect_error(asio::use_awaitable, outcome.error));
         record_progress(*hold, body.size());
+        if (connection->ahead == nullptr && body.size() >= counted_progress + progress_bytes) {
+            counted_progress = body.size();
+            connection->counted->set_phase(steering::connection_phase::reading, boot_now());
+        }
         const std::size_t body_bytes = std::max(length, body.capacity());
         const std::size_t input_limit = connection->buffer.max_size();
         if (outcome.error == http::error::buffer_overflow) {
@@ -390,6 +397,9 @@
     auto request = std::make_shared<caller_request>();
     request->arrived_at = boot_now();
     registered_read reading(state, connection, request);
+    if (connection->ahead == nullptr) {
+        connection->counted->set_phase(steering::connection_phase::reading, request->arrived_at);
+    }
     incoming_message message{request_parser(limits.head_bytes, limits.body_bytes), nullptr};
     request_parser& parser = message.parser;
     input_outcome input = co_await read_head(state, connection, message, request->arrived_at, limits);
--- a/packages/edge/src/request_reader.hpp
+++ b/packages/edge/src/request_reader.hpp
@@ -21,9 +21,10 @@
     boost::beast::tcp_stream stream;
     session_kind kind;
     boost::beast::flat_buffer buffer;
-    bool is_writing = false;         ///< An answer is being written.
-    bool is_cancel_due = false;      ///< The read is to be cancelled when the answer is written.
-    std::shared_ptr<pipeline> ahead; ///< Null unless further requests came before an answer was written.
+    bool is_writing = false;           ///< An answer is being written.
+    bool is_cancel_due = false;        ///< The read is to be cancelled when the answer is written.
+    counted_connection_handle counted; ///< Toward the limit for connections.
+    std::shared_ptr<pipeline> ahead;   ///< Null unless further requests came before an answer was written.
 };
 using session_handle = std::shared_ptr<session>;
 
--- a/packages/edge/src/service_ports.cpp
+++ b/packages/edge/src/service_ports.cpp
@@ -1,6 +1,4 @@
 // Ports for the platform and for callers' look-ups: directory, readiness, metrics.
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
@@ -80,6 +78,13 @@
     return make_response(200, metrics_page(state.metric_registry), "text/plain; version=0.0.4");
 }
 
+struct service_connection {
+    explicit service_connection(tcp::socket socket) : stream(std::move(socket)) {}
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer{max_input_bytes};
+    counted_connection_handle counted;
+};
+
 // Returns 0 for an error that no answer would reach.
 unsigned status_for_error(const boost::system::error_code& error)
 {
@@ -94,52 +99,73 @@
     return is_fault ? 400 : 0;
 }
 
-asio::awaitable<void> serve_connection(tcp::socket socket, std::shared_ptr<const port_handler> handler)
+// Returns whether the connection stays open.
+asio::awaitable<bool> serve_request(std::shared_ptr<service_connection> connection,
+                                    std::shared_ptr<const port_handler> handler)
 {
-    beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer(max_input_bytes);
-    bool keep_alive = true;
-    while (keep_alive) {
-        platform::request_parser parser(max_request_bytes, max_request_bytes);
-        stream.expires_after(request_timeout);
-        boost::system::error_code error;
-        co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        const unsigned fault = error ? status_for_error(error) : 0;
-        if (error && fault == 0) {
-            break;
-        }
-        const platform::http_request request = parser.release();
-        http::response<http::string_body> response =
-            fault == 0 ? (*handler)(request) : make_response(fault, "", "text/plain");
-        keep_alive = fault == 0 && request.keep_alive();
-        response.keep_alive(keep_alive);
-        response.prepare_payload();
-        co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, error));
-        keep_alive = keep_alive && !error;
+    platform::request_parser parser(max_request_bytes, max_request_bytes);
+    connection->stream.expires_after(request_timeout);
+    boost::system::error_code error;
+    co_await http::async_read(connection->stream, connection->buffer, parser,
+                              asio::redirect_error(asio::use_awaitable, error));
+    const unsigned fault = error ? status_for_error(error) : 0;
+    if (error && fault == 0) {
+        co_return false;
+    }
+    const platform::http_request request = parser.release();
+    http::response<http::string_body> response =
+        fault == 0 ? (*handler)(request) : make_response(fault, "", "text/plain");
+    const bool keep_alive = fault == 0 && request.keep_alive();
+    response.keep_alive(keep_alive);
+    response.prepare_payload();
+    const time_point now = boot_now();
+    if (fault == 0) {
+        connection->counted->set_phase(steering::connection_phase::busy, now);
+    }
+    connection->counted->set_phase(steering::connection_phase::reading, now);
+    co_await http::async_write(connection->stream, response,
+                               asio::redirect_error(asio::use_awaitable, error));
+    if (connection->buffer.size() == 0) {
+        connection->buffer.shrink_to_fit();
+    }
+    co_return keep_alive && !error;
+}
+
+asio::awaitable<void> serve_connection(std::shared_ptr<service_connection> connection,
+                                       std::shared_ptr<const port_handler> handler)
+{
+    bool keep_open = true;
+    while (keep_open && !connection->counted->is_closing()) {
+        keep_open = co_await serve_request(connection, handler);
+        connection->counted->set_phase(steering::connection_phase::idle, boot_now());
     }
 }
 
-asio::awaitable<void> accept_connections(control_state& state, std::shared_ptr<tcp::acceptor> acceptor,
-                                         std::shared_ptr<const port_handler> handler)
+void start_connection(control_state& state, limited_port& port, tcp::socket socket,
+                      std::shared_ptr<const port_handler> handler)
 {
-    while (acceptor->is_open()) {
-        boost::system::error_code error;
-        tcp::socket socket(state.context);
-        co_await acceptor->async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
-        if (!error) {
-            asio::co_spawn(state.context, serve_connection(std::move(socket), handler), asio::detached);
+    auto accepted = std::make_shared<service_connection>(std::move(socket));
+    accepted->counted = admit_connection(port, [weak = std::weak_ptr(accepted)] {
+        if (const auto open = weak.lock()) {
+            open->stream.cancel();
         }
+    });
+    if (accepted->counted != nullptr) {
+        spawn_task(state.context, serve_connection(std::move(accepted), std::move(handler)), "service");
     }
 }
 
-bool open_port(control_state& state, const endpoint& address, port_handler handler)
+bool open_port(control_state& state, limited_port& port, const endpoint& address, port_handler handler)
 {
     auto acceptor = std::make_shared<tcp::acceptor>(state.context);
     if (!open_acceptor(*acceptor, address)) {
         return false;
     }
     auto shared = std::make_shared<const port_handler>(std::move(handler));
-    asio::co_spawn(state.context, accept_connections(state, acceptor, shared), asio::detached);
+    const auto on_accepted = [&state, &port, acceptor, shared](tcp::socket socket) {
+        start_connection(state, port, std::move(socket), shared);
+    };
+    spawn_task(state.context, accept_connections(*acceptor, port, on_accepted), "accept_service");
     return true;
 }
 
@@ -147,12 +173,17 @@
 
 bool open_service_ports(control_state& state)
 {
+    const steering::connection_limits limits =
+        find_connection_limits(state.settings.descriptors, state.settings.memory_mb);
+    open_limits(state.directory_port, "directory", limits.lookups, state.metric_registry);
+    open_limits(state.readiness_port, "readiness", limits.readiness, state.metric_registry);
+    open_limits(state.metrics_port, "metrics", limits.metrics, state.metric_registry);
     using request_type = platform::http_request;
-    return open_port(state, state.settings.directory,
+    return open_port(state, state.directory_port, state.settings.directory,
                      [&state](const request_type& request) { return answer_directory(state, request); }) &&
-           open_port(state, state.settings.readiness,
+           open_port(state, state.readiness_port, state.settings.readiness,
                      [&state](const request_type& request) { return answer_readiness(state, request); }) &&
-           open_port(state, state.settings.metrics,
+           open_port(state, state.metrics_port, state.settings.metrics,
                      [&state](const request_type& request) { return answer_metrics(state, request); });
 }
 
--- a/packages/edge/src/sessions.cpp
+++ b/packages/edge/src/sessions.cpp
@@ -1,8 +1,6 @@
 // Callers' connections: serves their requests, one at a time unless a caller sends more, and writes the
 // answers.
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -22,13 +20,12 @@
 
 // Period at which an idle connection checks whether the instance is stopping.
 constexpr duration stop_check_period = std::chrono::milliseconds(500);
-// Limit for callers' connections; the other file descriptors are for targets, peers and the store.
-constexpr std::size_t max_sessions = 2500;
 
 // Waits for the first byte of a request. Returns false if the connection is to be closed.
 asio::awaitable<bool> wait_for_request(traffic_state& state, session_handle connection, duration idle_limit)
 {
     const time_point idle_since = boot_now();
+    connection->counted->set_phase(steering::connection_phase::idle, idle_since);
     while (connection->buffer.size() == 0) {
         asio::steady_timer stop_check_timer(state.context, stop_check_period);
         const auto waiting = std::make_shared<bool>(true);
@@ -51,7 +48,8 @@
         if (stop_due && peek(connection->stream.socket()) == socket_state::readable) {
             co_return true; // A request came in the meantime.
         }
-        if (error != asio::error::operation_aborted || stop_due || now - idle_since > idle_limit) {
+        const bool is_over = stop_due || connection->counted->is_closing() || now - idle_since > idle_limit;
+        if (error != asio::error::operation_aborted || is_over) {
             co_return false;
         }
     }
@@ -99,6 +97,7 @@
     if (request == nullptr) {
         co_return false;
     }
+    connection->counted->set_phase(steering::connection_phase::busy, request->arrived_at);
     begin_request(state, request);
     if (connection->buffer.size() > 0 && connection->kind == session_kind::caller) {
         begin_pipeline(state, connection, request);
@@ -123,7 +122,6 @@
 
 asio::awaitable<void> run_session(traffic_state& state, session_handle connection)
 {
-    ++state.open_sessions;
     const duration idle_limit = current_limits(state).idle_timeout;
     bool keep_open = true;
     while (keep_open) {
@@ -132,40 +130,42 @@
             keep_open = co_await serve_next_request(state, connection);
         }
     }
-    if (peek(connection->stream.socket()) == socket_state::readable) {
+    const bool is_closing = connection->counted->is_closing();
+    if (!is_closing && peek(connection->stream.socket()) == socket_state::readable) {
         const unfinished_request counted(state); // The last answer has not arrived.
         co_await discard_input(state, connection);
     }
     boost::system::error_code ignored; // The caller may have closed it already.
     connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     connection->stream.socket().close(ignored);
-    --state.open_sessions;
 }
 
-} // namespace
-
-asio::awaitable<void> accept_sessions(traffic_state& state, tcp::acceptor& acceptor, session_kind kind)
+void start_session(traffic_state& state, tcp::socket socket, session_kind kind)
 {
-    while (acceptor.is_open()) {
-        boost::system::error_code error;
-        tcp::socket socket(state.context);
-        co_await acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
-        if (error) {
-            if (error != asio::error::operation_aborted) {
-                log_event_limited(state.log, log_severity::warning, "accept_failed",
-                                  {{"error", error.message()}});
-            }
-            continue;
-        }
-        if (state.open_sessions >= max_sessions) {
-            log_event_limited(state.log, log_severity::warning, "too_many_connections", {});
-            continue;
+    auto accepted = std::make_shared<session>(std::move(socket), kind);
+    // The connection is owned by its coroutine, which ends when its read is cancelled.
+    accepted->counted = admit_connection(state.sessions, [weak = std::weak_ptr(accepted)] {
+        if (const session_handle open = weak.lock()) {
+            open->stream.cancel();
         }
-        boost::system::error_code ignored; // Without the option small answers are sent later.
-        socket.set_option(tcp::no_delay(true), ignored);
-        auto accepted = std::make_shared<session>(std::move(socket), kind);
-        asio::co_spawn(state.context, run_session(state, std::move(accepted)), asio::detached);
+    });
+    if (accepted->counted == nullptr) {
+        return;
     }
+    boost::system::error_code ignored; // Without the option small answers are sent later.
+    accepted->stream.socket().set_option(tcp::no_delay(true), ignored);
+    spawn_task(state.context, run_session(state, std::move(accepted)), "session");
+}
+
+} // namespace
+
+void accept_sessions(traffic_state& state, tcp::acceptor& acceptor, session_kind kind)
+{
+    spawn_task(state.context,
+               accept_connections(
+                   acceptor, state.sessions,
+                   [&state, kind](tcp::socket socket) { start_session(state, std::move(socket), kind); }),
+               "accept_sessions");
 }
 
 } // namespace camphorknot::edge
--- a/packages/edge/src/settings.cpp
+++ b/packages/edge/src/settings.cpp
@@ -108,6 +108,19 @@
     return value;
 }
 
+// Returns 0 if no limit is stated.
+std::size_t optional_descriptors(const YAML::Node& map)
+{
+    constexpr double smallest = 256;
+    const std::string name = "descriptors";
+    const double value = optional_number(map, name, 0);
+    if (value != 0 && value < smallest) {
+        throw settings_exception{
+            {settings_fault::invalid_format, name, "a number from 256 on", line_of(map[name])}};
+    }
+    return static_cast<std::size_t>(value);
+}
+
 std::vector<std::string> optional_texts(const YAML::Node& map, const std::string& name)
 {
     std::vector<std::string> values;
@@ -184,6 +197,7 @@
         optional_number(instance, "cpu_share", 0) * optional_number(instance, "cpu_speed", 1);
     settings.identity.cpu_millicores = static_cast<std::uint32_t>(std::min(cores * 1000, 1e9));
     settings.memory_mb = optional_memory_mb(instance);
+    settings.descriptors = optional_descriptors(instance);
     const YAML::Node listen = required_child(root, "listen");
     settings.front = required_address(listen, "front");
     settings.readiness = required_address(listen, "readiness");
--- a/packages/edge/src/traffic.cpp
+++ b/packages/edge/src/traffic.cpp
@@ -1,7 +1,5 @@
 #include "traffic.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <cmath>
 
@@ -214,11 +212,12 @@
     state.random.state = hash_name(state.settings.identity.name) ^ state.settings.identity.incarnation;
     state.crashes.table.verdict_extension = uniform_real(state.random);
     register_metrics(state);
-    asio::co_spawn(state.context, accept_sessions(state, state.acceptor, session_kind::caller),
-                   asio::detached);
+    const steering::connection_limits limits =
+        find_connection_limits(state.settings.descriptors, state.settings.memory_mb);
+    open_limits(state.sessions, "front", limits.callers, state.metric_registry);
+    accept_sessions(state, state.acceptor, session_kind::caller);
     if (takes_peers) {
-        asio::co_spawn(state.context, accept_sessions(state, state.relay_acceptor, session_kind::peer),
-                       asio::detached);
+        accept_sessions(state, state.relay_acceptor, session_kind::peer);
     }
     schedule_tick(state);
     state.thread = std::thread([&state] { state.context.run(); });
--- a/packages/edge/src/traffic.hpp
+++ b/packages/edge/src/traffic.hpp
@@ -12,6 +12,7 @@
 #include "camphorknot/kernel.hpp"
 #include "crash_watch.hpp"
 #include "held_messages.hpp"
+#include "limited_port.hpp"
 #include "send_record.hpp"
 #include "target_exchange.hpp"
 #include "views.hpp"
@@ -104,6 +105,8 @@
     std::list<incoming_request> incoming;
     /// Outlives the context, whose reads and writes remove their messages when it is destroyed.
     held_messages messages;
+    /// Those of callers and of instances that pass requests on. Outlives the context likewise.
+    limited_port sessions;
     boost::asio::io_context context{1};
     boost::asio::ip::tcp::acceptor acceptor{context};
     boost::asio::ip::tcp::acceptor relay_acceptor{context}; ///< For the requests of other instances.
@@ -132,7 +135,6 @@
     connection_pool peer_connections{messages}; ///< By name of the instance.
     random_source random;
     std::uint64_t next_request_id = 1;
-    std::size_t open_sessions = 0;
     std::size_t running_requests = 0; ///< Requests without a final answer.
     /// Requests of which a part has been received and whose answer has not been written completely. A
     /// graceful stop waits for them.
@@ -205,9 +207,8 @@
 /// Whose connections an acceptor accepts.
 enum class session_kind : std::uint8_t { caller, peer };
 
-/// Accepts connections until the acceptor is closed.
-boost::asio::awaitable<void> accept_sessions(traffic_state& state, boost::asio::ip::tcp::acceptor& acceptor,
-                                             session_kind kind);
+/// Starts to accept connections, until the acceptor is closed.
+void accept_sessions(traffic_state& state, boost::asio::ip::tcp::acceptor& acceptor, session_kind kind);
 
 /// Probes the services that may be unreachable.
 void probe_services(traffic_state& state, time_point now);
