Peers' port: frames take room as their bytes come, within a limit for all

What callers saw: processes over their memory, by clients of the port for other instances that announce frames of 8 MB and send nothing, or most of them.

Cause: the buffer for a frame had the announced length at once; neither the links nor the frames of all links together had a limit. Replies queue for a peer that doesn't read, up to 8 on each link.

Change: a frame is read in pieces that double from 64 KB. Frames above that are in a ledger of their own, of an eighth of the machine's memory and at least 16 MB: a frame without progress for a second makes room for another one. Queued frames of all links have the same limit. Links that other instances open count toward the port's limit for connections. camphorknot_refused_frames_total counts what was refused, and a log line names the reason.

Replies for a peer that doesn't read have no test.

--- a/packages/edge/src/control.hpp
+++ b/packages/edge/src/control.hpp
@@ -46,6 +46,7 @@
     limited_port directory_port;
     limited_port readiness_port;
     limited_port metrics_port;
+    peer_intake intake;
     boost::asio::io_context context{1};
     boost::asio::steady_timer ticker{context};
     std::thread thread;
--- a/packages/edge/src/control_fleet.cpp
+++ b/packages/edge/src/control_fleet.cpp
@@ -380,7 +380,10 @@
     handlers.on_link_change = [&state](std::string_view event, std::string_view address) {
         log_event_limited(state.log, log_severity::info, event, {{"address", std::string(address)}});
     };
-    state.peers = open_peer_network(state.context, state.settings.peers, std::move(handlers));
+    const steering::connection_limits limits =
+        find_connection_limits(state.settings.descriptors, state.settings.memory_mb);
+    open_intake(state.intake, limits.peers, state.settings.memory_mb, state.metric_registry);
+    state.peers = open_peer_network(state.context, state.settings.peers, state.intake, std::move(handlers));
     return state.peers != nullptr;
 }
 
--- a/packages/edge/src/peer_network.cpp
+++ b/packages/edge/src/peer_network.cpp
@@ -1,7 +1,5 @@
 #include "peer_network.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -28,12 +26,17 @@
 constexpr duration unacknowledged_limit = std::chrono::milliseconds(1000);
 // Queued frames per link. More are dropped: a later status supersedes the dropped ones.
 constexpr std::size_t max_queued_frames = 8;
+// A frame up to this size is not counted while it is received.
+constexpr std::size_t small_frame_bytes = std::size_t{64} * 1024;
+// Part of the machine's memory for frames that are received, and for those that wait to be sent.
+constexpr double frame_memory_fraction = 1.0 / 8;
 
 struct peer_connection {
     explicit peer_connection(tcp::socket connected) : socket(std::move(connected)) {}
     tcp::socket socket;
     std::deque<std::shared_ptr<const std::string>> queue;
     bool writing = false;
+    counted_connection_handle counted; // Null on links that this instance opened.
 };
 using peer_connection_handle = std::shared_ptr<peer_connection>;
 
@@ -63,11 +66,12 @@
 } // namespace
 
 struct peer_network : std::enable_shared_from_this<peer_network> {
-    peer_network(asio::io_context& io_context, peer_handlers callbacks)
-        : context(io_context), acceptor(io_context), handlers(std::move(callbacks))
+    peer_network(asio::io_context& io_context, peer_intake& limits, peer_handlers callbacks)
+        : context(io_context), intake(limits), acceptor(io_context), handlers(std::move(callbacks))
     {
     }
     asio::io_context& context;
+    peer_intake& intake;
     tcp::acceptor acceptor;
     peer_handlers handlers;
     std::map<std::string, std::shared_ptr<link>> links;
@@ -78,6 +82,16 @@
 
 using network_handle = std::shared_ptr<peer_network>;
 
+// A frame in the queue of a link. Counts toward the limit for all links.
+std::shared_ptr<const std::string> count_queued(peer_intake& intake, std::shared_ptr<const std::string> frame)
+{
+    intake.queued_bytes += frame->size();
+    const std::string* const text = frame.get();
+    return {text, [&intake, frame = std::move(frame)](const std::string*) {
+                intake.queued_bytes -= frame->size();
+            }};
+}
+
 void write_next(const peer_connection_handle& connection)
 {
     connection->writing = !connection->queue.empty();
@@ -97,12 +111,14 @@
                       });
 }
 
-bool enqueue(const peer_connection_handle& connection, std::shared_ptr<const std::string> frame)
+bool enqueue(peer_intake& intake, const peer_connection_handle& connection,
+             std::shared_ptr<const std::string> frame)
 {
-    if (!connection->socket.is_open() || connection->queue.size() >= max_queued_frames) {
+    if (!connection->socket.is_open() || connection->queue.size() >= max_queued_frames ||
+        intake.queued_bytes + frame->size() > intake.max_queued_bytes) {
         return false;
     }
-    connection->queue.push_back(std::move(frame));
+    connection->queue.push_back(count_queued(intake, std::move(frame)));
     if (!connection->writing) {
         write_next(connection);
     }
@@ -113,49 +129,126 @@
 {
     const std::optional<peer_message> reply = network.handlers.on_message(std::move(message));
     if (reply) {
-        enqueue(connection, std::make_shared<const std::string>(encode_frame(*reply)));
+        enqueue(network.intake, connection, std::make_shared<const std::string>(encode_frame(*reply)));
     }
 }
 
-asio::awaitable<void> read_frames(network_handle network, peer_connection_handle connection)
+// Returns whether there is room for @p bytes of a frame. Small frames need none.
+bool has_room(peer_network& network, const peer_connection_handle& connection, message_hold_handle& hold,
+              std::size_t bytes)
 {
-    std::string buffer;
-    boost::system::error_code error;
-    while (!network->closed) {
-        buffer.resize(frame_header_bytes);
-        co_await asio::async_read(connection->socket, asio::buffer(buffer),
-                                  asio::redirect_error(asio::use_awaitable, error));
-        const std::uint32_t length = error ? 0 : decode_content_length(buffer);
-        if (error || length > max_frame_bytes) {
-            break;
+    if (bytes <= small_frame_bytes) {
+        return true;
+    }
+    if (hold == nullptr) {
+        hold = hold_message(network.intake.frames, steering::message_kind::request, boot_now(), [connection] {
+            boost::system::error_code ignored; // A failure to close needs no handling.
+            connection->socket.close(ignored);
+        });
+    }
+    return reserve(*hold, bytes);
+}
+
+// Reads the content of a frame piece by piece, so that only what has come takes memory.
+asio::awaitable<bool> read_content(network_handle network, peer_connection_handle connection,
+                                   std::size_t length, std::shared_ptr<std::string> content)
+{
+    message_hold_handle hold;
+    content->clear();
+    while (content->size() < length) {
+        const std::size_t received = content->size();
+        const std::size_t piece = std::min(length - received, std::max(small_frame_bytes, received));
+        // A string that grows is copied.
+        if (!has_room(*network, connection, hold, received == 0 ? piece : 2 * received + piece)) {
+            co_return false;
         }
-        buffer.resize(length);
-        co_await asio::async_read(connection->socket, asio::buffer(buffer),
+        content->resize(received + piece);
+        boost::system::error_code error;
+        co_await asio::async_read(connection->socket, asio::buffer(*content) + received,
                                   asio::redirect_error(asio::use_awaitable, error));
         if (error) {
-            break;
+            co_return false;
         }
-        auto message = decode_frame(buffer);
-        if (!message) {
-            break;
+        if (hold != nullptr) {
+            record_progress(*hold, content->size());
         }
-        handle_message(*network, connection, std::move(*message));
     }
-    connection->socket.close(error);
+    co_return true;
 }
 
-asio::awaitable<void> accept_links(network_handle network)
+void set_phase(const peer_connection_handle& connection, steering::connection_phase phase)
 {
-    while (!network->closed) {
-        boost::system::error_code error;
-        tcp::socket socket(network->context);
-        co_await network->acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
-        if (error) {
-            continue;
+    if (connection->counted != nullptr) {
+        connection->counted->set_phase(phase, boot_now());
+    }
+}
+
+void refuse_frame(peer_network& network, std::size_t length, std::string_view reason)
+{
+    network.intake.refused_frames->fetch_add(1, std::memory_order_relaxed);
+    log_event_limited(network.intake.links.log, log_severity::warning, "frame_refused",
+                      {{"bytes", std::to_string(length)}, {"reason", std::string(reason)}});
+}
+
+// Returns whether a further frame may follow.
+asio::awaitable<bool> read_frame(network_handle network, peer_connection_handle connection,
+                                 std::shared_ptr<std::string> content)
+{
+    boost::system::error_code error;
+    content->resize(frame_header_bytes);
+    co_await asio::async_read(connection->socket, asio::buffer(*content),
+                              asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return false;
+    }
+    const std::uint32_t length = decode_content_length(*content);
+    if (length > max_frame_bytes) {
+        refuse_frame(*network, length, "too_large");
+        co_return false;
+    }
+    set_phase(connection, steering::connection_phase::reading);
+    const bool is_read = co_await read_content(network, connection, length, content);
+    if (!is_read) {
+        refuse_frame(*network, length, "not_received");
+        co_return false;
+    }
+    auto message = decode_frame(*content);
+    if (content->capacity() > small_frame_bytes) {
+        std::string().swap(*content);
+    }
+    if (!message) {
+        refuse_frame(*network, length, "malformed");
+        co_return false;
+    }
+    set_phase(connection, steering::connection_phase::busy);
+    handle_message(*network, connection, std::move(*message));
+    set_phase(connection, steering::connection_phase::idle);
+    co_return true;
+}
+
+asio::awaitable<void> read_frames(network_handle network, peer_connection_handle connection)
+{
+    const auto content = std::make_shared<std::string>();
+    bool keep_open = true;
+    while (keep_open && !network->closed) {
+        keep_open = co_await read_frame(network, connection, content);
+    }
+    boost::system::error_code ignored; // A failure to close needs no handling.
+    connection->socket.close(ignored);
+}
+
+void start_accepted_link(const network_handle& network, tcp::socket socket)
+{
+    set_tcp_options(socket, unacknowledged_limit);
+    auto accepted = std::make_shared<peer_connection>(std::move(socket));
+    accepted->counted = admit_connection(network->intake.links, [weak = std::weak_ptr(accepted)] {
+        if (const auto open = weak.lock()) {
+            boost::system::error_code ignored; // A failure to close needs no handling.
+            open->socket.close(ignored);
         }
-        set_tcp_options(socket, unacknowledged_limit);
-        auto accepted = std::make_shared<peer_connection>(std::move(socket));
-        asio::co_spawn(network->context, read_frames(network, std::move(accepted)), asio::detached);
+    });
+    if (accepted->counted != nullptr) {
+        spawn_task(network->context, read_frames(network, std::move(accepted)), "peer_link");
     }
 }
 
@@ -203,14 +296,31 @@
 
 } // namespace
 
+void open_intake(peer_intake& intake, std::size_t max_links, double memory_mb, metrics& registry)
+{
+    open_limits(intake.links, "peers", max_links, registry);
+    intake.refused_frames = &counter(registry, "camphorknot_refused_frames_total", "");
+    if (memory_mb > 0) {
+        const auto part = static_cast<std::size_t>(memory_mb * 1024 * 1024 * frame_memory_fraction);
+        intake.max_queued_bytes = std::max(part, std::size_t{max_frame_bytes});
+    }
+    // Frames of all sizes share the room; one of the largest size fits.
+    intake.frames.ledger.budget.total = std::max(intake.max_queued_bytes, 2 * std::size_t{max_frame_bytes});
+    intake.frames.ledger.budget.kept_for_small = 0;
+    intake.frames.ledger.budget.kept_for_ordinary = 0;
+}
+
 std::shared_ptr<peer_network> open_peer_network(asio::io_context& context, const endpoint& listen,
-                                                peer_handlers handlers)
+                                                peer_intake& intake, peer_handlers handlers)
 {
-    auto network = std::make_shared<peer_network>(context, std::move(handlers));
+    auto network = std::make_shared<peer_network>(context, intake, std::move(handlers));
     if (!open_acceptor(network->acceptor, listen)) {
         return nullptr;
     }
-    asio::co_spawn(context, accept_links(network), asio::detached);
+    const auto on_accepted = [network](tcp::socket socket) {
+        start_accepted_link(network, std::move(socket));
+    };
+    spawn_task(context, accept_connections(network->acceptor, intake.links, on_accepted), "accept_links");
     return network;
 }
 
@@ -223,7 +333,7 @@
     entry = std::make_shared<link>();
     entry->address = address;
     entry->reconnect_timer = std::make_unique<asio::steady_timer>(network.context);
-    asio::co_spawn(network.context, maintain_link(network.shared_from_this(), entry), asio::detached);
+    spawn_task(network.context, maintain_link(network.shared_from_this(), entry), "maintain_link");
 }
 
 void remove_peer(peer_network& network, const std::string& address)
@@ -247,7 +357,7 @@
     for (const std::string& address : addresses) {
         const auto found = network.links.find(address);
         if (found != network.links.end() && found->second->connection != nullptr) {
-            enqueue(found->second->connection, shared);
+            enqueue(network.intake, found->second->connection, shared);
         }
     }
 }
@@ -265,7 +375,7 @@
 {
     const auto found = network.links.find(address);
     return found != network.links.end() && found->second->connection != nullptr &&
-           enqueue(found->second->connection, std::make_shared<const std::string>(frame));
+           enqueue(network.intake, found->second->connection, std::make_shared<const std::string>(frame));
 }
 
 void close_peer_network(peer_network& network)
--- a/packages/edge/src/peer_network.hpp
+++ b/packages/edge/src/peer_network.hpp
@@ -9,6 +9,8 @@
 #include <string>
 
 #include "camphorknot/edge/settings.hpp"
+#include "held_messages.hpp"
+#include "limited_port.hpp"
 #include "peer_codec.hpp"
 
 namespace camphorknot::edge {
@@ -21,12 +23,27 @@
     std::function<void(std::string_view event, std::string_view address)> on_link_change;
 };
 
+/// What the links take of this instance. Outlives the io_context of its network.
+struct peer_intake {
+    limited_port links; ///< Those that other instances open.
+    /// Frames that are being received, but for small ones.
+    held_messages frames;
+    std::size_t max_queued_bytes =
+        std::size_t{16} * 1024 * 1024; ///< Frames that wait to be sent, on all links.
+    std::size_t queued_bytes = 0;
+    std::atomic<std::uint64_t>* refused_frames = nullptr; ///< Without room, or not valid.
+};
+
+/// Sets the limits and registers the metrics.
+/// @param memory_mb memory of the machine in megabytes; 0 if it is unknown.
+void open_intake(peer_intake& intake, std::size_t max_links, double memory_mb, metrics& registry);
+
 /// The links of this instance. All functions must be called in the thread of its io_context.
 struct peer_network;
 
 /// Listens at @p listen. @return null if the port cannot be bound.
 std::shared_ptr<peer_network> open_peer_network(boost::asio::io_context& context, const endpoint& listen,
-                                                peer_handlers handlers);
+                                                peer_intake& intake, peer_handlers handlers);
 
 /// Opens a link to @p address ("ip:port") and reopens it after failures until remove_peer. Does nothing if
 /// the link exists.
