Peers' codec: the values of a large frame are counted before it is decoded

What callers saw: a process over its memory, by one frame of legal size between instances that consists of small or nested values.

Cause: a value takes 24 bytes once it is decoded, whatever its size, and nested ones take more: 8 MB of them take over 200 MB.

Change: a frame above 64 KB is read by a visitor first, which refuses more than 250,000 values or 32 levels. A record has five values, so that those of 2,400 targets have 12,000.

--- a/packages/edge/src/peer_codec.cpp
+++ b/packages/edge/src/peer_codec.cpp
@@ -280,6 +280,46 @@
     throw msgpack::type_error();
 }
 
+// Contents up to this size are decoded without a look at their values first.
+constexpr std::size_t small_content_bytes = std::size_t{64} * 1024;
+// Values of a frame; each takes 24 bytes once it is decoded. A record has five.
+constexpr std::size_t max_values = 250'000;
+constexpr std::size_t max_depth = 32;
+
+// Counts the values of a frame without decoding them.
+struct value_counter : msgpack::null_visitor {
+    std::size_t values = 0;
+    std::size_t depth = 0;
+    bool is_valid = true;
+
+    bool open(std::size_t count)
+    {
+        values += count;
+        ++depth;
+        return values <= max_values && depth <= max_depth;
+    }
+    bool start_array(std::uint32_t count) { return open(count); }
+    bool start_map(std::uint32_t count) { return open(std::size_t{2} * count); }
+    bool end_array()
+    {
+        --depth;
+        return true;
+    }
+    bool end_map() { return end_array(); }
+    void parse_error(std::size_t /*parsed*/, std::size_t /*failed*/) { is_valid = false; }
+    void insufficient_bytes(std::size_t /*parsed*/, std::size_t /*failed*/) { is_valid = false; }
+};
+
+// Whether the values take little more memory than their bytes.
+bool has_few_values(std::string_view content)
+{
+    if (content.size() <= small_content_bytes) {
+        return true;
+    }
+    value_counter counter;
+    return msgpack::parse(content.data(), content.size(), counter) && counter.is_valid;
+}
+
 } // namespace
 
 std::string encode_frame(const peer_message& message)
@@ -310,6 +350,9 @@
 result<peer_message, codec_fault> decode_frame(std::string_view content)
 {
     try {
+        if (!has_few_values(content)) {
+            return fail<peer_message>(codec_fault::malformed);
+        }
         const msgpack::object_handle handle = msgpack::unpack(content.data(), content.size());
         const msgpack::object& outer = handle.get();
         if (outer.type != msgpack::type::ARRAY || outer.via.array.size < 2) {
