--- a/packages/daemon/tests/crowd/crowd_answers_test.cpp
+++ b/packages/daemon/tests/crowd/crowd_answers_test.cpp
@@ -35,7 +35,7 @@
 {
     const process_fixture process{process_limits{}};
     const std::string answer = make_chunked_answer("X-Pad: " + std::string(70'000, 'a') + "\r\n\r\n");
-    set_answer(*process.archive, [&](std::string_view) { return answer; });
+    set_answer(*process.archive, [&](std::string_view) { return std::string(answer); });
     crowd callers;
     const std::string request = make_request("/archive/1");
     send_from_crowd(callers, process.instance_ip, 4, request, request.size(), 4, 0);
@@ -47,7 +47,7 @@
 {
     const process_fixture process{process_limits{}};
     const std::string answer = make_chunked_answer(make_short_fields(127'000));
-    set_answer(*process.archive, [&](std::string_view) { return answer; });
+    set_answer(*process.archive, [&](std::string_view) { return std::string(answer); });
     crowd callers;
     const std::string request = make_request("/archive/1");
     send_from_crowd(callers, process.instance_ip, 1200, request, request.size(), 1200, 0);
--- a/packages/edge/src/settings.cpp
+++ b/packages/edge/src/settings.cpp
@@ -114,7 +114,7 @@
     constexpr double smallest = 256;
     const std::string name = "descriptors";
     const double value = optional_number(map, name, 0);
-    if (value != 0 && value < smallest) {
+    if (value != 0 && !(value >= smallest)) {
         throw settings_exception{
             {settings_fault::invalid_format, name, "a number from 256 on", line_of(map[name])}};
     }
--- a/packages/edge/tests/edge_codec_test.cpp
+++ b/packages/edge/tests/edge_codec_test.cpp
@@ -102,6 +102,29 @@
     }
 }
 
+TEST_CASE("edge settings: the limit for descriptors is optional, and a bad value names the field")
+{
+    const auto read_descriptors = [](const std::string& value) {
+        std::string text = settings_text;
+        const std::string name = "region: rvk";
+        const std::size_t at = text.find(name) + name.size();
+        return parse_edge_settings(text.insert(at, ", descriptors: " + value));
+    };
+    for (const auto& [value, expected] : {std::pair("", std::size_t{0}), {"0", 0}, {"4100", 4100}}) {
+        const auto read = read_descriptors(value); // It is empty if the platform states none.
+        CAPTURE(value);
+        REQUIRE(read);
+        CHECK(read->descriptors == expected);
+    }
+    for (const std::string value : {"-1", "255", "1e10", "many", "nan", "[4100]"}) {
+        const auto read = read_descriptors(value);
+        CAPTURE(value);
+        REQUIRE_FALSE(read);
+        CHECK(read.reason.fault == settings_fault::invalid_format);
+        CHECK(read.reason.field == "descriptors");
+    }
+}
+
 TEST_CASE("edge settings: a fault is reported with its field and line, and without the file's content")
 {
     std::string text = settings_text;
--- a/packages/edge/tests/message_parser_test.cpp
+++ b/packages/edge/tests/message_parser_test.cpp
@@ -51,8 +51,7 @@
 std::string render(const http_request& request)
 {
     std::ostringstream text;
-    http_request copy = request;
-    http::serializer<true, shared_body, message_fields> serializer(copy);
+    http::serializer<true, shared_body, message_fields> serializer(request);
     error_code error;
     while (!serializer.is_done() && !error) {
         serializer.next(error, [&](error_code&, const auto& buffers) {
@@ -173,12 +172,15 @@
 
 TEST_CASE("message fields: a field of short names takes little more than its text")
 {
+    constexpr std::size_t count = 4096;
+    constexpr std::size_t text_bytes = 5; // "a: " and the line end.
+    constexpr std::size_t max_allocated = count * (16 + 2 * text_bytes) + 1024;
     message_fields fields;
-    for (int number = 0; number < 4096; ++number) {
+    for (std::size_t number = 0; number < count; ++number) {
         fields.insert("a", "");
     }
-    CHECK(fields.text_bytes() == 5 * 4096);
-    CHECK(fields.allocated_bytes() <= 4096 * (16 + 2 * 5) + 1024);
+    CHECK(fields.text_bytes() == count * text_bytes);
+    CHECK(fields.allocated_bytes() <= max_allocated);
 }
 
 TEST_CASE("message fields: fields that any Connection field lists are not forwarded")
