Request reader: a refusal for want of room names the request

What callers saw: by reading, a request without a body that is refused with 503 memory_full got an answer and a log line without its id; requests with a body had it.

Cause: the metadata of a request without a body was read only after it had been counted.

Change: they are read before the refusal.

--- a/packages/edge/src/request_reader.cpp
+++ b/packages/edge/src/request_reader.cpp
@@ -406,6 +406,9 @@
     const bool has_head = !input.error && input.refusal == room_refusal::none;
     if (has_head && parser.is_done()) {
         input.refusal = hold_head(state, message, request->arrived_at);
+        if (input.refusal != room_refusal::none) {
+            request->metadata = platform::read_request(parser.get());
+        }
     } else if (has_head) {
         request->metadata = platform::read_request(parser.get());
         if (reading.refuse_now(std::string(parser.get().target()))) {
