Tests: answers and replies that nobody reads

Two cells that had no crowd: callers that don't read large answers, and other instances that ask for all records and don't read them.

The tests of answers hold their text by value: the server's thread may still use it when the test's own variables have ended (SIGSEGV of the test program in 3 of 3 runs of the new test).

--- a/packages/daemon/tests/crowd/crowd_answers_test.cpp
+++ b/packages/daemon/tests/crowd/crowd_answers_test.cpp
@@ -35,7 +35,7 @@
 {
     const process_fixture process{process_limits{}};
     const std::string answer = make_chunked_answer("X-Pad: " + std::string(70'000, 'a') + "\r\n\r\n");
-    set_answer(*process.archive, [&](std::string_view) { return std::string(answer); });
+    set_answer(*process.archive, [answer](std::string_view) { return std::string(answer); });
     crowd callers;
     const std::string request = make_request("/archive/1");
     send_from_crowd(callers, process.instance_ip, 4, request, request.size(), 4, 0);
@@ -47,7 +47,7 @@
 {
     const process_fixture process{process_limits{}};
     const std::string answer = make_chunked_answer(make_short_fields(127'000));
-    set_answer(*process.archive, [&](std::string_view) { return std::string(answer); });
+    set_answer(*process.archive, [answer](std::string_view) { return std::string(answer); });
     crowd callers;
     const std::string request = make_request("/archive/1");
     send_from_crowd(callers, process.instance_ip, 1200, request, request.size(), 1200, 0);
@@ -59,7 +59,7 @@
 {
     const process_fixture process{process_limits{}};
     const std::string answer = make_large_answer();
-    set_answer(*process.archive, [&](std::string_view head) {
+    set_answer(*process.archive, [answer](std::string_view head) {
         const bool is_first = head.find(" /archive/first ") != std::string_view::npos;
         return is_first ? std::string() : answer;
     });
@@ -72,6 +72,20 @@
     check_survival(process);
 }
 
+// Guards against answers that are held for callers which do not read them.
+TEST_CASE("memory under crowds: large answers that are not read")
+{
+    const process_fixture process{process_limits{}};
+    const std::string answer =
+        "HTTP/1.1 200 OK\r\nServer-Signature: s\r\nContent-Length: " + std::to_string(8 * mb) + "\r\n\r\n" +
+        std::string(8 * mb, 'a');
+    set_answer(*process.archive, [answer](std::string_view) { return std::string(answer); });
+    crowd callers;
+    const std::string request = make_request("/archive/1");
+    send_from_crowd(callers, process.instance_ip, 60, request, request.size(), 60, 0);
+    check_survival(process);
+}
+
 // Guards against answers of the store that end the process, or that it reads without a limit.
 TEST_CASE("memory under crowds: trailers in the store's answers")
 {
--- a/packages/daemon/tests/crowd/crowd_ports_test.cpp
+++ b/packages/daemon/tests/crowd/crowd_ports_test.cpp
@@ -1,5 +1,7 @@
 // The ports beside that of the callers, against clients that should not be there.
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <thread>
 
 #include "crowd.hpp"
 #include "survival.hpp"
@@ -127,6 +129,31 @@
     check_survival(process);
 }
 
+// Guards against replies that queue for an instance which does not read them.
+TEST_CASE("memory under crowds: replies that are not read at the port for other instances")
+{
+    const process_fixture process{process_limits{}};
+    const std::string start =
+        R"({"service":"unused","address":"127.0.0.1:1","zone":"rvk-a","config_version":"v1",)"
+        R"("slots":1,"state":"ready","warmup_left_s":0,"sequence":1,"born":100,"extra":")";
+    for (int number = 0; number < 40; ++number) {
+        standins::put_row(*process.store, "servers", "i-unused-" + std::to_string(number),
+                          start + std::string(50'000, 'x') + "\"}");
+    }
+    CHECK(process.serves_ordinary_request());
+    // Asks for all records: for each collection the version 0, as of a negative time.
+    const std::string position = std::string("\x92\x00\xcb\xbf\xf0", 5) + std::string(6, '\0');
+    const std::string content = "\x92\x01\x93" + position + position + position;
+    std::string frames;
+    for (int number = 0; number < 12; ++number) {
+        frames += make_frame(content, content.size());
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(2)); // For the process to read the rows.
+    crowd peers;
+    send_from_crowd(peers, process.instance_ip, 60, frames, frames.size(), 60, 0, peers_port);
+    check_survival(process);
+}
+
 // Guards against ports whose connections use up the descriptors of the process.
 TEST_CASE("memory under crowds: silent connections use up the descriptors")
 {
