--- a/packages/edge/src/request_reader.cpp
+++ b/packages/edge/src/request_reader.cpp
@@ -199,10 +199,10 @@
     });
 }
 
-// A request that is being read, and its reservation. Null while it is small and not complete.
+// A request that is being read.
 struct incoming_message {
     request_parser parser;
-    message_hold_handle hold;
+    message_hold_handle hold; // Its reservation; null while little of its head has come.
 };
 
 std::size_t count_head_bytes(const platform::http_request& head)
@@ -227,8 +227,8 @@
     }
 }
 
-// Reads the head. One that does not fit into a small buffer is counted as held until it is complete, and so
-// are its fields.
+// Reads the head. It is counted as held once it does not fit into a small buffer, or its fields have taken
+// some kilobytes.
 asio::awaitable<input_outcome> read_head(traffic_state& state, session_handle connection,
                                          incoming_message& message, time_point started_at,
                                          steering::caller_limits limits)
