--- a/packages/daemon/tests/crowd/process_fixture.cpp
+++ b/packages/daemon/tests/crowd/process_fixture.cpp
@@ -31,7 +31,7 @@
            std::to_string(limits.max_body_bytes) + R"(,"header_timeout_s":10,"idle_timeout_s":30}}]})";
 }
 
-void write_settings(const process_fixture& fixture)
+void write_settings(const process_fixture& fixture, const std::string& bounds)
 {
     const auto address = [&](int port) {
         return "\"" + fixture.instance_ip + ":" + std::to_string(port) + "\"";
@@ -45,6 +45,9 @@
          << "store: { address: \"" << fixture.network << ".1:" << fixture.store->port << "\" }\n"
          << "failure_domains: { rvk-a: rvk }\n"
          << "seeds: []\n";
+    if (!bounds.empty()) {
+        file << "bounds: " << bounds << "\n";
+    }
 }
 
 // The row of a server with room for all requests of a crowd.
@@ -89,7 +92,7 @@
 } // namespace
 
 process_fixture::process_fixture(std::size_t max_body_bytes)
-    : process_fixture(process_limits{max_body_bytes, process_limits{}.max_head_bytes, 0})
+    : process_fixture(process_limits{max_body_bytes, process_limits{}.max_head_bytes, 0, {}})
 {
 }
 
@@ -106,7 +109,7 @@
     standins::put_row(*store, "servers", "i-1",
                       standins::server_row("desk", server_address, "rvk-a", "v1", "ready", 0, 100));
     standins::put_row(*store, "servers", "i-2", archive_row(network + ".4:" + std::to_string(archive->port)));
-    write_settings(*this);
+    write_settings(*this, limits.bounds);
     pid = start_program(directory, limits.descriptors);
     if (!serves_ordinary_request()) {
         throw std::runtime_error("the program does not serve requests; see " + directory + "/log.jsonl");
--- a/packages/daemon/tests/crowd/process_fixture.hpp
+++ b/packages/daemon/tests/crowd/process_fixture.hpp
@@ -22,6 +22,7 @@
     std::size_t max_body_bytes = std::size_t{8} * 1024 * 1024; ///< In the operator's configuration.
     std::size_t max_head_bytes = 16'384;                       ///< Likewise.
     std::size_t descriptors = 0; ///< Limit of the process (RLIMIT_NOFILE); 0 to leave it as it is.
+    std::string bounds;          ///< Value of `bounds` in the settings; empty to leave it out.
 };
 
 /// A running process, killed at the end of the test.
