Settings: the operator's bounds are read as the platform renders them

Cause: the template renders `bounds` as a map; the settings took a list and passed over anything else, so that each bound had its default. The stand-ins of the tests and of the soak wrote a list. Class: an operator's value that isn't understood is replaced by a default in silence. Change: `bounds` is read as a map or as a list; any other form, and a known bound that can't be read, is an error with its line.

--- a/packages/edge/src/settings.cpp
+++ b/packages/edge/src/settings.cpp
@@ -138,17 +138,25 @@
     return address.ip + ":" + std::to_string(address.port);
 }
 
-// The platform renders a limit that it does not have without a value.
-void append_limits(const YAML::Node& section, std::vector<std::string>& texts)
+// The operator's bounds as "name=value", from a map or from a list of such texts. A bound without a value is
+// one that the platform does not have.
+std::vector<std::string> read_bounds(const YAML::Node& root)
 {
-    if (!section || !section.IsMap()) {
-        return;
+    const YAML::Node bounds = root["bounds"];
+    if (!bounds || bounds.IsNull() || bounds.IsSequence()) {
+        return optional_texts(root, "bounds");
     }
-    for (std::string& limit : optional_texts(section, "limits")) {
-        if (!limit.ends_with('=')) {
-            texts.push_back(std::move(limit));
+    if (!bounds.IsMap()) {
+        throw settings_exception{
+            {settings_fault::invalid_format, "bounds", "a map or a list of name=value", line_of(bounds)}};
+    }
+    std::vector<std::string> texts;
+    for (const auto& bound : bounds) {
+        if (!bound.second.IsNull()) {
+            texts.push_back(bound.first.as<std::string>("") + "=" + bound.second.as<std::string>(""));
         }
     }
+    return texts;
 }
 
 // Without an address, or without the duty among the listed ones, nothing is reported.
@@ -216,10 +224,7 @@
         settings.failure_domains[domain.first.as<std::string>("")] = domain.second.as<std::string>("");
     }
     settings.seeds = optional_texts(root, "seeds");
-    std::vector<std::string> texts = optional_texts(root, "bounds");
-    append_limits(root["usage"], texts);
-    append_limits(root["rollouts"], texts);
-    const auto bounds = platform::decode_bounds(texts);
+    const auto bounds = platform::decode_bounds(read_bounds(root));
     if (!bounds) {
         throw settings_exception{
             {settings_fault::invalid_format, bounds.reason, "name=value", line_of(root["bounds"])}};
--- a/packages/edge/tests/edge_codec_test.cpp
+++ b/packages/edge/tests/edge_codec_test.cpp
@@ -173,9 +173,10 @@
     const std::string other = R"(usage: { address: "127.0.0.1:7", duties: [other], calls_per_s: 50 })";
     const std::string window = R"("report_window_s=5")";
     CHECK(reports_usage(*parse(usage, window)));
-    const std::string with_limits =
-        R"(usage: { address: "127.0.0.1:7", duties: [usage_reporting], limits: ["report_window_s=5", "lease_s="] })";
-    CHECK(reports_usage(*parse(with_limits, R"("quota_overage=0")")));
+    std::string with_map = settings_text + usage;
+    const std::string list = R"(["grace_s=6", "quota_slack=20", "something_new=true"])";
+    with_map.replace(with_map.find(list), list.size(), R"({"report_window_s":5,"lease_s":null})");
+    CHECK(reports_usage(*parse_edge_settings(with_map)));
     CHECK_FALSE(reports_usage(*parse(other, window)));
     CHECK_FALSE(reports_usage(*parse("", window)));
     CHECK_FALSE(reports_usage(*parse(usage, R"("quota_overage=0")")));
@@ -190,22 +191,47 @@
     CHECK(parse(usage, R"("lease_s=1")").reason.field == "lease_s");
 }
 
-// Guards against settings whose limits for unproven versions are passed over.
-TEST_CASE("settings: the limits for a version that is not proven are read from the rollouts' part")
+// Guards against bounds of the operator that are passed over, so that the instance uses its defaults.
+TEST_CASE("edge settings: the operator's bounds are read as the platform renders them")
 {
-    const auto parse = [](const std::string& limits) {
-        return parse_edge_settings(std::string(settings_text) + "rollouts: { limits: [" + limits + "] }\n");
+    const auto parse = [](const std::string& bounds) {
+        std::string text = settings_text;
+        return parse_edge_settings(text.substr(0, text.find("bounds:")) + "bounds: " + bounds + "\n");
     };
-    const auto given = parse(R"("exposure_share=0.05", "exposure_slack=20")");
+    const auto given = parse(R"({"contact_s":4,"grace_s":10,"strict_revoke":false,"retry_budget_ratio":0.1,)"
+                             R"("retry_budget_extra":630,"budget_window_s":12,"quota_window_s":4,)"
+                             R"("quota_overage":0.2,"quota_slack":25,"ttl_max_s":3,"exposure_share":0.05,)"
+                             R"("exposure_slack":20,"lease_s":2,"thaw_slack_s":0.2,"report_window_s":5,)"
+                             R"("usage_late_s":9,"zones":{"a":1}})");
     REQUIRE(given);
-    CHECK(given->bounds.exposure_share == 0.05);
-    CHECK(given->bounds.exposure_slack == 20);
-    // The platform renders a limit that it does not have without a value.
-    const auto absent = parse(R"("exposure_share=", "exposure_slack=")");
+    const steering::operating_bounds& bounds = given->bounds;
+    CHECK(bounds.stop_time == 10s);
+    CHECK(bounds.retry_ratio == 0.1);
+    CHECK(bounds.retry_allowance == 630);
+    CHECK(bounds.retry_window == 12s);
+    CHECK(bounds.rate_window == 4s);
+    CHECK(bounds.rate_overage == 0.2);
+    CHECK(bounds.rate_slack == 25);
+    CHECK(bounds.max_time_to_live == 3s);
+    CHECK(bounds.exposure_share == 0.05);
+    CHECK(bounds.exposure_slack == 20);
+    CHECK(bounds.duty_lease == 2s);
+    CHECK(bounds.thaw_slack == 200ms);
+    CHECK(bounds.usage_window == 5s);
+    CHECK(bounds.usage_due == 9s);
+    const auto absent = parse(R"({"grace_s":null,"exposure_share":})");
     REQUIRE(absent);
-    CHECK(absent->bounds.exposure_slack == 0);
-    CHECK_FALSE(parse(R"("exposure_share=1.5")"));
-    CHECK_FALSE(parse(R"("exposure_slack=many")"));
+    CHECK(absent->bounds.stop_time == 6s);
+    CHECK(absent->bounds.exposure_share == 0.1);
+    CHECK(parse(""));
+    for (const std::string invalid : {R"({"grace_s":"long"})", R"({"grace_s":[10]})", R"({"grace_s":true})",
+                                      R"({"exposure_share":1.5})", R"({"exposure_slack":"many"})", "6"}) {
+        const auto read = parse(invalid);
+        CAPTURE(invalid);
+        REQUIRE_FALSE(read);
+        CHECK(read.reason.fault == settings_fault::invalid_format);
+        CHECK(read.reason.line > 0);
+    }
 }
 
 TEST_CASE(
