Stop: the process ends when no connection is open, and empties its backlog before it closes it

What callers saw: connections that were reset without an answer near the end of a planned stop, with requests that they had sent up to half a second before. Cause: two steps of the stop decided on requests whose first bytes had been read, though requests also lie unread in the kernel while the process waits for a processor. With no request in progress the process ended at once, so that accepted connections, and answers that had become due in the meantime, went with it. Where a request was in progress, the listener was closed with its backlog. Class: a state of the process taken for the state of its connections. An exception in a check of the stop no longer ends the checks. What remains: a connection whose handshake ends between the last accept and the close is reset; its request can't have been read.

--- a/packages/decision/include/camphorknot/steering/stop_plan.hpp
+++ b/packages/decision/include/camphorknot/steering/stop_plan.hpp
@@ -12,8 +12,8 @@
     time_point began_at{};
     time_point take_until{};    ///< Requests whose first byte comes later are refused.
     time_point close_idle_at{}; ///< Connections without a request are closed.
-    time_point idle_end_at{};   ///< A stop without requests may end.
-    time_point accept_until{};  ///< The listening sockets are closed.
+    time_point idle_end_at{};   ///< The listening sockets are closed if no request is in progress.
+    time_point accept_until{};  ///< The listening sockets are closed in any case.
     time_point answer_by{};     ///< Requests without an answer get one of the instance's own.
     time_point end_at{};        ///< The process ends, also if an answer is not written.
 };
--- a/packages/edge/src/limited_port.cpp
+++ b/packages/edge/src/limited_port.cpp
@@ -113,4 +113,23 @@
     }
 }
 
+void accept_last_connections(tcp::acceptor& acceptor, limited_port& port,
+                             const std::function<void(tcp::socket)>& on_accepted)
+{
+    boost::system::error_code error;
+    acceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(acceptor.get_executor());
+        acceptor.accept(socket, error);
+        if (!error) {
+            accept_guarded(port, on_accepted, std::move(socket));
+        }
+    }
+    if (error != asio::error::would_block) {
+        log_event_limited(port.log, log_severity::warning, "accept_failed",
+                          {{"port", port.name}, {"error", error.message()}});
+    }
+    acceptor.close(error);
+}
+
 } // namespace camphorknot::edge
--- a/packages/edge/src/limited_port.hpp
+++ b/packages/edge/src/limited_port.hpp
@@ -67,4 +67,9 @@
 accept_connections(boost::asio::ip::tcp::acceptor& acceptor, limited_port& port,
                    std::function<void(boost::asio::ip::tcp::socket)> on_accepted);
 
+/// Accepts the connections that wait in the acceptor's backlog, then closes it. Closing it alone would reset
+/// connections whose callers have sent requests already.
+void accept_last_connections(boost::asio::ip::tcp::acceptor& acceptor, limited_port& port,
+                             const std::function<void(boost::asio::ip::tcp::socket)>& on_accepted);
+
 } // namespace camphorknot::edge
--- a/packages/edge/src/sessions.cpp
+++ b/packages/edge/src/sessions.cpp
@@ -168,4 +168,13 @@
                "accept_sessions");
 }
 
+void accept_last_sessions(traffic_state& state, tcp::acceptor& acceptor, session_kind kind)
+{
+    if (acceptor.is_open()) {
+        accept_last_connections(acceptor, state.sessions, [&state, kind](tcp::socket socket) {
+            start_session(state, std::move(socket), kind);
+        });
+    }
+}
+
 } // namespace camphorknot::edge
--- a/packages/edge/src/traffic.hpp
+++ b/packages/edge/src/traffic.hpp
@@ -180,7 +180,7 @@
 void post_crash_reports(traffic_state& state, std::vector<steering::crash_report> reports);
 
 /// Begins a graceful stop: answers ask callers to close their connections. on_stopped is called when no
-/// request is in progress, or shortly before the stop time ends, after the requests in progress have been
+/// connection is open, or shortly before the stop time ends, after the requests in progress have been
 /// answered. Further calls have no effect. Safe to call from any thread.
 void post_stop(traffic_state& state);
 
@@ -216,6 +216,9 @@
 /// Starts to accept connections, until the acceptor is closed.
 void accept_sessions(traffic_state& state, boost::asio::ip::tcp::acceptor& acceptor, session_kind kind);
 
+/// Accepts the connections that wait, and closes the acceptor.
+void accept_last_sessions(traffic_state& state, boost::asio::ip::tcp::acceptor& acceptor, session_kind kind);
+
 /// Probes the services that may be unreachable.
 void probe_services(traffic_state& state, time_point now);
 
--- a/packages/edge/src/traffic_stop.cpp
+++ b/packages/edge/src/traffic_stop.cpp
@@ -70,20 +70,23 @@
 void check_stop(traffic_state& state, time_point now)
 {
     const steering::stop_plan& stop = *state.stop;
-    if (now >= stop.accept_until && state.acceptor.is_open()) {
-        boost::system::error_code ignored; // A failure to close needs no handling.
-        state.acceptor.close(ignored);
-        state.relay_acceptor.close(ignored);
+    const bool is_idle = state.unfinished_requests == 0 && now >= stop.idle_end_at;
+    if ((is_idle || now >= stop.accept_until) && state.acceptor.is_open()) {
+        accept_last_sessions(state, state.acceptor, session_kind::caller);
+        accept_last_sessions(state, state.relay_acceptor, session_kind::peer);
     }
     refuse_incoming(state, now);
     if (now >= stop.answer_by) {
         end_requests(state);
     }
-    const bool is_idle = state.unfinished_requests == 0 && now >= stop.idle_end_at;
-    if ((is_idle || now >= stop.end_at) && state.on_stopped) {
+    // An open connection may hold a request that has not been read: it is closed by its own session.
+    const std::size_t open_connections = state.sessions.table.connections.size();
+    const bool is_done = !state.acceptor.is_open() && open_connections == 0;
+    if ((is_done || now >= stop.end_at) && state.on_stopped) {
         log_event(log_severity::info, "traffic_stopped",
                   {{"running", std::to_string(state.running_requests)},
-                   {"unfinished", std::to_string(state.unfinished_requests)}});
+                   {"unfinished", std::to_string(state.unfinished_requests)},
+                   {"connections", std::to_string(open_connections)}});
         state.on_stopped();
         state.on_stopped = nullptr;
     }
@@ -94,8 +97,8 @@
     state.stop_ticker.expires_after(stop_check_period);
     state.stop_ticker.async_wait([&state](boost::system::error_code cancelled) {
         if (!cancelled) {
+            schedule_stop_check(state); // An exception in the check does not end the stop.
             check_stop(state, boot_now());
-            schedule_stop_check(state);
         }
     });
 }
