Preset for the thread sanitizer

The program has a traffic thread, a control thread and the main thread, and only the address and undefined behaviour sanitizers had a preset. sanitize-threads builds with -fsanitize=thread into a directory of its own; both presets at once are refused. g++ 12 warns of std::atomic_thread_fence, which Asio 1.74 uses in its fenced blocks (-Wtsan, an error here): switched off for this preset only.

--- a/cmake/options.cmake
+++ b/cmake/options.cmake
@@ -24,6 +24,17 @@
   add_link_options(-fsanitize=address,undefined)
 endif()
 
+option(CAMPHORKNOT_SANITIZE_THREADS "Build with the thread sanitizer" OFF)
+if(CAMPHORKNOT_SANITIZE AND CAMPHORKNOT_SANITIZE_THREADS)
+  message(FATAL_ERROR "The address and the thread sanitizer cannot be in one build")
+endif()
+if(CAMPHORKNOT_SANITIZE_THREADS)
+  add_compile_options(-fsanitize=thread)
+  # g++ 12 warns of the fences in Asio, which the sanitizer does not follow; Asio has a mutex at the same places.
+  add_compile_options($<$<CXX_COMPILER_ID:GNU>:-Wno-tsan>)
+  add_link_options(-fsanitize=thread)
+endif()
+
 # camphorknot_library(<name> SOURCES <file>... LINK <target>...): a package's library, exported and installed.
 function(camphorknot_library name)
   cmake_parse_arguments(ARG "" "" "SOURCES;LINK" ${ARGN})
