Log: closing it while other threads log raced with them

Callers saw nothing. The program closes its log in the main thread and only then ends the traffic and the control thread, which may log in between: log_event reads the pointer to the sink that close_log resets. The sink itself is safe, since glog removes it under the lock under which lines are sent to it, so that the worst was a line that is lost. log_event now asks an atomic flag.

--- a/packages/kernel/src/log.cpp
+++ b/packages/kernel/src/log.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <cstdio>
 #include <ctime>
 #include <fcntl.h>
@@ -100,6 +101,9 @@
     std::uint64_t dropped_lines = 0;
 };
 
+// Read by all threads, unlike the sink, which glog protects while a line is sent to it.
+std::atomic<bool> is_log_open{false};
+
 std::unique_ptr<json_sink>& current_sink()
 {
     static std::unique_ptr<json_sink> sink;
@@ -150,6 +154,7 @@
     }
     google::AddLogSink(sink.get());
     current_sink() = std::move(sink);
+    is_log_open = true;
     return true;
 }
 
@@ -165,6 +170,7 @@
     }
     google::AddLogSink(sink.get());
     current_sink() = std::move(sink);
+    is_log_open = true;
 }
 
 void log_event_limited(log_limiter& limiter, log_severity severity, std::string_view event,
@@ -198,6 +204,7 @@
     if (sink == nullptr) {
         return;
     }
+    is_log_open = false;
     google::RemoveLogSink(sink.get());
     if (sink->file != stderr && sink->file != stdout) {
         std::fclose(sink->file);
@@ -208,7 +215,7 @@
 void log_event(log_severity severity, std::string_view event, const std::vector<log_field>& fields,
                const char* file, int line)
 {
-    if (current_sink() == nullptr) {
+    if (!is_log_open) {
         return;
     }
     pending_fields = &fields;
--- a/packages/kernel/tests/kernel_test.cpp
+++ b/packages/kernel/tests/kernel_test.cpp
@@ -1,4 +1,9 @@
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+#include <unistd.h>
 
 #include "camphorknot/kernel.hpp"
 
@@ -37,6 +42,42 @@
     CHECK(line.find(R"("event":"peer_refused","peer":"a\n)") != std::string::npos);
 }
 
+// The program closes its log while its other threads still run. The thread sanitizer shows the access.
+TEST_CASE("kernel: the log closes while another thread logs", "[kernel]")
+{
+    const std::filesystem::path directory =
+        std::filesystem::temp_directory_path() / ("camphorknot-log-" + std::to_string(::getpid()));
+    std::filesystem::create_directories(directory);
+    std::atomic<bool> running{true};
+    std::atomic<std::size_t> logged{0};
+    REQUIRE(open_log(directory.string()));
+    std::thread other([&] {
+        while (running) {
+            log_event(log_severity::info, "tick", {});
+            ++logged;
+        }
+    });
+    while (logged < 100) {
+        std::this_thread::yield();
+    }
+    close_log();
+    const std::size_t logged_before = logged;
+    while (logged < logged_before + 100) {
+        std::this_thread::yield();
+    }
+    running = false;
+    other.join();
+    std::ifstream file(directory / "camphorknotd.jsonl");
+    std::size_t lines = 0;
+    for (std::string line; std::getline(file, line);) {
+        ++lines;
+        CHECK(line.back() == '}');
+    }
+    CHECK(lines >= 100);
+    CHECK(lines <= logged_before + 1);
+    std::filesystem::remove_all(directory);
+}
+
 TEST_CASE("kernel: the metrics page counts every observation once", "[kernel]")
 {
     // Guards against durations outside the histogram's range missing from its count.
