Requests without an answer are counted and logged, with reason and phase

Only ends of connections with several requests were logged (`pipeline_dropped`), without their requests; an end by a limit, by a failed write, for another connection, by an exception or with the process left no trace.

Change: no logic. Each connection has a `connection_watch`, each request a `request_watch` from its first byte until its answer has been written. A request that still belongs to its connection when that ends is reported once: `connection_closed_unanswered` (bounded) with request, phase, reason, port, last target or instance and error, and `camphorknot_unanswered_requests_total{reason,phase}`. The first reason that is noted counts, and fixes the phases at that moment. Bytes of a request that was not begun are phase `unread`. The caller's own leaving is `caller_left`, severity info; a reset in the middle of an answer is that too. The lists are intrusive, so that a request without a loss allocates nothing more; the counter is looked up only for a report.

When the traffic thread has ended, all connections that are open are reported with `process_ended`. The program therefore destroys the instance before it logs `stop_done` and closes the log; it did so at its exit before.

Not counted: connections in the backlog of the listener, and a process that is killed.

--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -157,6 +157,7 @@
     log_event(log_severity::info, "stop_began", {{"signal", std::to_string(signal)}});
     edge::begin_stop(**running);
     edge::wait_until_stopped(**running, settings.bounds.stop_time);
+    running->reset(); // Logs the requests that have no answer.
     log_event(log_severity::info, "stop_done", {});
     close_log();
     return 0;
--- a/packages/edge/src/pipeline.cpp
+++ b/packages/edge/src/pipeline.cpp
@@ -38,6 +38,7 @@
     entry.held_bytes = answer.body().size();
     count_held_answer(state, static_cast<std::ptrdiff_t>(entry.held_bytes));
     entry.answer = std::move(answer);
+    entry.request->watch.set_phase(request_phase::answering);
     steering::on_answered(ahead.order, entry.request->id, entry.held_bytes);
 }
 
@@ -68,6 +69,9 @@
 void drop_rest(traffic_state& state, pipeline& ahead, std::string_view reason)
 {
     ahead.is_ending = true;
+    for (const auto& [number, entry] : ahead.entries) {
+        entry->request->watch.note(connection_end::caller_left); // Unless another reason was noted.
+    }
     const steering::dropped_requests dropped = steering::close_order(ahead.order);
     for (const std::uint64_t number : dropped.not_started) {
         end_request(state, *ahead.entries.at(number)->request);
@@ -93,6 +97,7 @@
 asio::awaitable<void> run_follower(traffic_state& state, pipeline_handle ahead, entry_handle entry)
 {
     const std::uint64_t number = entry->request->id;
+    const exception_note failing([&] { entry->request->watch.note(connection_end::task_failed); });
     if (ahead->order.is_closed) {
         end_request(state, *entry->request);
         co_return;
@@ -228,6 +233,7 @@
 asio::awaitable<void> read_ahead(traffic_state& state, session_handle connection, pipeline_handle ahead,
                                  bool may_follow)
 {
+    const exception_note failing([&] { connection->watch.note(connection_end::task_failed); });
     while (may_follow) {
         may_follow = co_await read_follower(state, connection, ahead);
         ahead->answered.cancel();
@@ -245,6 +251,7 @@
     ahead->slow.expires_after(ahead->read_limit);
     ahead->slow.async_wait([connection, ahead](boost::system::error_code cancelled) {
         if (!cancelled && ahead->is_reading && ahead->order.requests.empty() && !connection->is_writing) {
+            connection->watch.note(connection_end::read_timeout);
             connection->stream.cancel();
         }
     });
@@ -259,13 +266,15 @@
     const bool ends_here = is_last && (state.stop || ahead->input_ended);
     const bool keep_alive = entry->request->message.keep_alive() && !ends_here;
     ahead->is_ending = ahead->is_ending || !keep_alive;
-    const auto error = co_await write_answer(connection, std::move(*entry->answer), keep_alive);
+    const auto error =
+        co_await write_answer(connection, entry->request, std::move(*entry->answer), keep_alive);
     if (ahead->order.is_closed) {
         co_return false;
     }
     steering::on_written(ahead->order);
     ahead->entries.erase(number);
     if (error || !keep_alive) {
+        connection->watch.note(state.stop ? connection_end::stopping : connection_end::closing_answer);
         drop_rest(state, *ahead, error ? "write_failed" : "closing_answer");
         co_return false;
     }
--- a/packages/edge/src/relay.cpp
+++ b/packages/edge/src/relay.cpp
@@ -100,6 +100,7 @@
 void on_caller_left(traffic_state& state, caller_request& request)
 {
     request.caller_left = true;
+    request.watch.note(connection_end::caller_left);
     log_event_limited(state.log, log_severity::info, "caller_left", {{"request", request.metadata.attempt}});
     if (request.active_waiter != nullptr) {
         request.active_waiter->wakeup.cancel();
--- a/packages/edge/src/relay_peers.cpp
+++ b/packages/edge/src/relay_peers.cpp
@@ -207,6 +207,7 @@
     const duration time_left = plan.deadline - start;
     platform::http_request message =
         platform::make_peer_request(request->message, time_left - answer_margin, plan.send_count);
+    request->watch.set_receiver(peer.id);
     request->active_exchange = std::make_shared<exchange_handle>();
     request->active_exchange->send_by = find_latest_send(state, plan, nullptr);
     request->at_most_once = plan.route->repeats != steering::repeat_policy::idempotent;
--- a/packages/edge/src/relay_send.cpp
+++ b/packages/edge/src/relay_send.cpp
@@ -333,6 +333,7 @@
     forwarded.time_left = plan.deadline - start - answer_margin;
     platform::http_request message = platform::make_target_request(request->message, forwarded);
     const std::uint64_t run = count_run_sent(state, plan, placement, start);
+    request->watch.set_receiver(target.id);
     request->active_exchange = std::make_shared<exchange_handle>();
     request->active_exchange->send_by = find_latest_send(state, plan, &placement);
     const bool is_suspect = plan.is_suspect;
--- a/packages/edge/src/request_reader.cpp
+++ b/packages/edge/src/request_reader.cpp
@@ -70,7 +70,7 @@
         co_return;
     }
     platform::http_response answer = refuse_stopping(state, *request);
-    const auto error = co_await write_answer(connection, std::move(answer), false);
+    const auto error = co_await write_answer(connection, request, std::move(answer), false);
     if (error) {
         co_return;
     }
@@ -163,8 +163,10 @@
 }
 
 asio::awaitable<boost::system::error_code> write_answer(session_handle connection,
+                                                        std::shared_ptr<caller_request> request,
                                                         platform::http_response answer, bool keep_alive)
 {
+    request->watch.set_phase(request_phase::answering);
     answer.keep_alive(keep_alive);
     if (!keep_alive) {
         answer.set(http::field::connection, "close");
@@ -178,6 +180,11 @@
         connection->stream.cancel();
     }
     connection->stream.expires_never();
+    if (error) {
+        connection->watch.note(end_of_write(error), error);
+    } else {
+        request->watch.end();
+    }
     co_return error;
 }
 
@@ -374,13 +381,24 @@
     platform::http_response answer =
         refuse(state, *request, unavailable, "memory_full", retry_after, {{"cause", cause}});
     log_promise(state, *request, unavailable);
-    const auto error = co_await write_answer(connection, std::move(answer), false);
+    const auto error = co_await write_answer(connection, request, std::move(answer), false);
     if (error || refusal == room_refusal::no_progress) {
         co_return;
     }
     co_await discard_input(state, connection);
 }
 
+// A read that ends before the first byte, as on an idle connection, leaves no request without an answer.
+void note_failed_read(session& connection, caller_request& request, const request_parser& parser,
+                      const boost::system::error_code& error)
+{
+    if (parser.got_some() || connection.buffer.size() > 0) {
+        connection.watch.note(end_of_read(error), error);
+    } else {
+        request.watch.end();
+    }
+}
+
 // An idle connection keeps no more than a small buffer.
 void shrink_input(session& connection)
 {
@@ -397,6 +415,7 @@
     auto request = std::make_shared<caller_request>();
     request->arrived_at = boot_now();
     registered_read reading(state, connection, request);
+    request->watch.begin(connection->watch);
     if (connection->ahead == nullptr) {
         connection->counted->set_phase(steering::connection_phase::reading, request->arrived_at);
     }
@@ -411,6 +430,7 @@
         }
     } else if (has_head) {
         request->metadata = platform::read_request(parser.get());
+        request->watch.set_phase(request_phase::body);
         if (reading.refuse_now(std::string(parser.get().target()))) {
             input.error = asio::error::operation_aborted;
         } else {
@@ -441,10 +461,13 @@
             const std::string fault = error.message();
             platform::http_response answer = refuse(state, *request, status_for_error(error),
                                                     "malformed_request", duration{}, {{"fault", fault}});
-            co_await write_answer(connection, std::move(answer), false);
+            co_await write_answer(connection, request, std::move(answer), false);
+            co_return nullptr;
         }
+        note_failed_read(*connection, *request, parser, error);
         co_return nullptr;
     }
+    request->watch.end_read();
     request->id = state.next_request_id++;
     request->message = parser.release();
     request->metadata = platform::read_request(request->message);
--- a/packages/edge/src/request_reader.hpp
+++ b/packages/edge/src/request_reader.hpp
@@ -14,8 +14,8 @@
 
 /// A connection of a caller, or of an instance that passes requests on.
 struct session {
-    session(boost::asio::ip::tcp::socket socket, session_kind opened_by)
-        : stream(std::move(socket)), kind(opened_by)
+    session(connection_ends& ends, boost::asio::ip::tcp::socket socket, session_kind opened_by)
+        : stream(std::move(socket)), kind(opened_by), watch(ends, stream.socket(), opened_by)
     {
     }
     boost::beast::tcp_stream stream;
@@ -25,6 +25,7 @@
     bool is_cancel_due = false;        ///< The read is to be cancelled when the answer is written.
     counted_connection_handle counted; ///< Toward the limit for connections.
     std::shared_ptr<pipeline> ahead;   ///< Null unless further requests came before an answer was written.
+    connection_watch watch;            ///< Reports its unanswered requests.
 };
 using session_handle = std::shared_ptr<session>;
 
@@ -41,10 +42,12 @@
 /// Otherwise the unread bytes would reset the connection, and the caller might lose the last answer.
 boost::asio::awaitable<void> discard_input(traffic_state& state, session_handle connection);
 
-/// Writes an answer.
+/// Writes the answer to @p request.
 /// @param keep_alive false to ask the caller to close the connection.
 /// @return the error of the write.
-boost::asio::awaitable<boost::system::error_code>
-write_answer(session_handle connection, platform::http_response answer, bool keep_alive);
+boost::asio::awaitable<boost::system::error_code> write_answer(session_handle connection,
+                                                               std::shared_ptr<caller_request> request,
+                                                               platform::http_response answer,
+                                                               bool keep_alive);
 
 } // namespace camphorknot::edge
--- a/packages/edge/src/sessions.cpp
+++ b/packages/edge/src/sessions.cpp
@@ -48,8 +48,12 @@
         if (stop_due && peek(connection->stream.socket()) == socket_state::readable) {
             co_return true; // A request came in the meantime.
         }
-        const bool is_over = stop_due || connection->counted->is_closing() || now - idle_since > idle_limit;
+        const bool is_idle = now - idle_since > idle_limit;
+        const bool is_over = stop_due || connection->counted->is_closing() || is_idle;
         if (error != asio::error::operation_aborted || is_over) {
+            if (is_idle && !stop_due) {
+                connection->watch.note(connection_end::idle_timeout);
+            }
             co_return false;
         }
     }
@@ -116,12 +120,16 @@
         co_return false;
     }
     const bool keep_alive = request->message.keep_alive() && !state.stop;
-    const auto error = co_await write_answer(connection, std::move(answer), keep_alive);
+    const auto error = co_await write_answer(connection, request, std::move(answer), keep_alive);
     co_return !error && keep_alive;
 }
 
 asio::awaitable<void> run_session(traffic_state& state, session_handle connection)
 {
+    const exception_note failing([&] {
+        connection->watch.note(connection_end::task_failed);
+        connection->watch.close(connection_end::task_failed);
+    });
     const duration idle_limit = current_limits(state).idle_timeout;
     bool keep_open = true;
     while (keep_open) {
@@ -130,6 +138,8 @@
             keep_open = co_await serve_next_request(state, connection);
         }
     }
+    connection->watch.close(state.stop ? connection_end::stopping : connection_end::closing_answer,
+                            connection->buffer.size() > 0);
     const bool is_closing = connection->counted->is_closing();
     if (!is_closing && peek(connection->stream.socket()) == socket_state::readable) {
         const unfinished_request counted(state); // The last answer has not arrived.
@@ -142,10 +152,11 @@
 
 void start_session(traffic_state& state, tcp::socket socket, session_kind kind)
 {
-    auto accepted = std::make_shared<session>(std::move(socket), kind);
+    auto accepted = std::make_shared<session>(state.ends, std::move(socket), kind);
     // The connection is owned by its coroutine, which ends when its read is cancelled.
     accepted->counted = admit_connection(state.sessions, [weak = std::weak_ptr(accepted)] {
         if (const session_handle open = weak.lock()) {
+            open->watch.note(connection_end::closed_for_another);
             open->stream.cancel();
         }
     });
--- a/packages/edge/src/traffic.cpp
+++ b/packages/edge/src/traffic.cpp
@@ -213,6 +213,7 @@
 {
     traffic_metrics& counters = state.counters;
     edge::register_metrics(state.messages, state.metric_registry);
+    state.ends.registry = &state.metric_registry;
     counters.requests = &counter(state.metric_registry, "camphorknot_requests_total", "");
     counters.answered = &counter(state.metric_registry, "camphorknot_target_answers_total", "");
     counters.retries = &counter(state.metric_registry, "camphorknot_retries_total", "");
@@ -301,6 +302,7 @@
     if (state.thread.joinable()) {
         state.thread.join();
     }
+    report_open_connections(state.ends);
 }
 
 platform::http_response refuse(traffic_state& state, const caller_request& request, unsigned status,
--- a/packages/edge/src/traffic.hpp
+++ b/packages/edge/src/traffic.hpp
@@ -10,6 +10,7 @@
 
 #include "camphorknot/edge/settings.hpp"
 #include "camphorknot/kernel.hpp"
+#include "connection_ends.hpp"
 #include "crash_watch.hpp"
 #include "held_messages.hpp"
 #include "limited_port.hpp"
@@ -51,6 +52,7 @@
     std::size_t unrecorded_sends = 0;                 ///< Further ones.
     std::shared_ptr<exchange_handle> active_exchange; ///< Null unless the request is at a target.
     std::shared_ptr<waiter> active_waiter;            ///< Null unless the request waits in a queue.
+    request_watch watch{*this}; ///< Reports it if its connection ends without an answer.
 };
 
 /// A request that is being received.
@@ -101,6 +103,8 @@
     }
     const edge_settings& settings;
     metrics& metric_registry;
+    /// Outlives the context, whose connections remove themselves when it is destroyed.
+    connection_ends ends;
     /// In the order of arrival. Outlives the context, whose reads remove themselves when it is destroyed.
     std::list<incoming_request> incoming;
     /// Outlives the context, whose reads and writes remove their messages when it is destroyed.
