Tests: a request on a connection that is never served is counted

The destructor of a connection that was accepted and not admitted reports it as `too_many_connections`, `unread`.

--- a/packages/edge/tests/edge_connection_end_test.cpp
+++ b/packages/edge/tests/edge_connection_end_test.cpp
@@ -274,6 +274,16 @@
     CHECK(pair.count("too_many_connections", "unread") == 0);
 }
 
+// Guards against a connection that is refused with its request and leaves no trace of it.
+TEST_CASE("edge connection end: unread bytes of a connection that was never served are counted")
+{
+    watched_pair pair;
+    boost::asio::write(pair.caller_end, boost::asio::buffer("GET", 3));
+    pair.own_end.wait(tcp::socket::wait_read);
+    pair.connection.reset();
+    CHECK(pair.count("too_many_connections", "unread") == 1);
+}
+
 // Guards against a later event that hides the cause, and against a phase of the time after the cause.
 TEST_CASE("edge connection end: the first reason counts, with the phase of its moment")
 {
