start_failed names the port, its address and the error of the system

Seen: a start that could not listen logged `start_failed` with "front", also if the relay port failed, or with "directory, readiness or metrics", and nothing of what the system had objected to.

Cause: open_acceptor returned whether it had succeeded, and its callers passed on a text.

Change: open_acceptor returns the error code, and start_instance a `start_failure` with the port (an enum, named as in the settings), the address and that error.

--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -141,7 +141,11 @@
     open_log_on_stdout();
     auto running = edge::start_instance(settings);
     if (!running) {
-        log_event(log_severity::error, "start_failed", {{"port", running.reason}});
+        const edge::start_failure& failure = running.reason;
+        log_event(log_severity::error, "start_failed",
+                  {{"port", std::string(edge::name_of(failure.port))},
+                   {"address", failure.address.ip + ":" + std::to_string(failure.address.port)},
+                   {"error", failure.error.message()}});
         close_log();
         return exit_start_failed;
     }
--- a/packages/edge/include/camphorknot/edge/instance.hpp
+++ b/packages/edge/include/camphorknot/edge/instance.hpp
@@ -3,8 +3,9 @@
 /// the traffic thread relays callers' requests, the control thread follows the store and the other instances.
 #pragma once
 
+#include <boost/system/error_code.hpp>
 #include <memory>
-#include <string>
+#include <string_view>
 
 #include "camphorknot/edge/settings.hpp"
 
@@ -18,9 +19,21 @@
 };
 using instance_handle = std::unique_ptr<instance, instance_deleter>;
 
+/// What an instance listens on, and the store that it calls.
+enum class instance_port : std::uint8_t { front, relay, peers, directory, readiness, metrics, store };
+
+/// @return the name in logs, which is that of the setting.
+std::string_view name_of(instance_port port);
+
+/// Why an instance was not started: it cannot listen at an address, or the store's address is invalid.
+struct start_failure {
+    instance_port port = instance_port::front;
+    endpoint address;
+    boost::system::error_code error; ///< Of the system.
+};
+
 /// Opens the ports and starts the threads.
-/// @return the instance, or the name of the port that could not be bound ("store" if the store's address is
-/// invalid).
+/// @return the instance, or the first port that could not be opened.
 ///
 /// @code
 /// auto running = start_instance(*settings);
@@ -28,7 +41,7 @@
 /// begin_stop(**running);
 /// wait_until_stopped(**running);
 /// @endcode
-result<instance_handle, std::string> start_instance(edge_settings settings);
+result<instance_handle, start_failure> start_instance(edge_settings settings);
 
 /// Applies the settings that may change while the instance runs; these are the seeds only. Safe to call from
 /// any thread.
--- a/packages/edge/src/control.cpp
+++ b/packages/edge/src/control.cpp
@@ -191,7 +191,7 @@
     state.publish(std::move(view));
 }
 
-std::string start_control(control_state& state)
+std::optional<start_failure> start_control(control_state& state)
 {
     state.fleet.own = state.settings.identity;
     state.started_at = boot_now();
@@ -199,15 +199,16 @@
     boost::system::error_code error;
     store.address = {asio::ip::make_address(state.settings.store.ip, error), state.settings.store.port};
     if (error) {
-        return "store";
+        return start_failure{instance_port::store, state.settings.store, error};
     }
     state.read_client = platform::make_store_client(store);
     state.write_client = platform::make_store_client(store);
-    if (!start_peer_network(state)) {
-        return "peers";
+    error = start_peer_network(state);
+    if (error) {
+        return start_failure{instance_port::peers, state.settings.peers, error};
     }
-    if (!open_service_ports(state)) {
-        return "directory, readiness or metrics";
+    if (auto failure = open_service_ports(state)) {
+        return failure;
     }
     spawn_task(state.context, register_instance(state), "register_instance");
     spawn_lasting_task(
@@ -215,7 +216,7 @@
     start_usage(state);
     schedule_tick(state);
     state.thread = std::thread([&state] { run_handlers(state.context, "control", state.metric_registry); });
-    return {};
+    return std::nullopt;
 }
 
 void post_report(control_state& state, traffic_report report)
--- a/packages/edge/src/control.hpp
+++ b/packages/edge/src/control.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <thread>
 
+#include "camphorknot/edge/instance.hpp"
 #include "camphorknot/edge/settings.hpp"
 #include "camphorknot/kernel.hpp"
 #include "camphorknot/platform/records.hpp"
@@ -114,9 +115,8 @@
 };
 
 /// Opens the ports and starts the thread.
-/// @return an empty text, or the name of the port that cannot be bound ("store" if the store's address is
-/// invalid).
-std::string start_control(control_state& state);
+/// @return the failure, if a port cannot be opened or the store's address is invalid.
+std::optional<start_failure> start_control(control_state& state);
 
 /// Hands over the traffic thread's report. Safe to call from any thread.
 void post_report(control_state& state, traffic_report report);
@@ -174,7 +174,7 @@
 std::map<std::string, version_rule> version_rules(control_state& state);
 
 /// Listens for the links of other instances. @return whether the peers' port could be bound.
-bool start_peer_network(control_state& state);
+boost::system::error_code start_peer_network(control_state& state);
 /// Registers this instance in the store and reads the instances that are registered there. Afterwards a
 /// domain delegate reads them again while a failure domain is missing.
 boost::asio::awaitable<void> register_instance(control_state& state);
@@ -191,7 +191,7 @@
 /// Sends the current view to the traffic thread.
 void publish_view(control_state& state, time_point now);
 
-/// Opens the directory, readiness and metrics ports. @return whether all of them could be bound.
-bool open_service_ports(control_state& state);
+/// Opens the directory, readiness and metrics ports. @return the failure, if one cannot be opened.
+std::optional<start_failure> open_service_ports(control_state& state);
 
 } // namespace camphorknot::edge
--- a/packages/edge/src/control_fleet.cpp
+++ b/packages/edge/src/control_fleet.cpp
@@ -371,7 +371,7 @@
     adjust_links(state, now);
 }
 
-bool start_peer_network(control_state& state)
+boost::system::error_code start_peer_network(control_state& state)
 {
     peer_handlers handlers;
     handlers.on_message = [&state](peer_message&& message) {
@@ -383,8 +383,9 @@
     const steering::connection_limits limits =
         find_connection_limits(state.settings.descriptors, state.settings.memory_mb);
     open_intake(state.intake, limits.peers, state.settings.memory_mb, state.metric_registry);
-    state.peers = open_peer_network(state.context, state.settings.peers, state.intake, std::move(handlers));
-    return state.peers != nullptr;
+    auto network = open_peer_network(state.context, state.settings.peers, state.intake, std::move(handlers));
+    state.peers = network.value.value_or(nullptr);
+    return network.reason;
 }
 
 } // namespace camphorknot::edge
--- a/packages/edge/src/instance.cpp
+++ b/packages/edge/src/instance.cpp
@@ -1,5 +1,6 @@
 #include "camphorknot/edge/instance.hpp"
 
+#include <array>
 #include <boost/asio/post.hpp>
 #include <condition_variable>
 #include <mutex>
@@ -24,6 +25,13 @@
     bool stopped = false;
 };
 
+std::string_view name_of(instance_port port)
+{
+    constexpr std::array<std::string_view, 7> names = {"front",     "relay",   "peers", "directory",
+                                                       "readiness", "metrics", "store"};
+    return names.at(static_cast<std::size_t>(port));
+}
+
 void instance_deleter::operator()(instance* running) const
 {
     join_traffic(running->traffic);
@@ -31,7 +39,7 @@
     delete running;
 }
 
-result<instance_handle, std::string> start_instance(edge_settings settings)
+result<instance_handle, start_failure> start_instance(edge_settings settings)
 {
     // The wall clock gives later starts on the same machine a higher incarnation.
     settings.identity.incarnation = static_cast<std::uint64_t>(wall_now());
@@ -60,14 +68,13 @@
         running->stopped = true;
         running->stopped_changed.notify_all();
     };
-    if (!start_traffic(running->traffic)) {
-        return fail<instance_handle>(std::string("front"));
+    if (const auto failure = start_traffic(running->traffic)) {
+        return fail<instance_handle>(*failure);
     }
-    const std::string failed = start_control(running->control);
-    if (!failed.empty()) {
-        return fail<instance_handle>(failed);
+    if (const auto failure = start_control(running->control)) {
+        return fail<instance_handle>(*failure);
     }
-    return succeed<std::string>(std::move(handle));
+    return succeed<start_failure>(std::move(handle));
 }
 
 void reload(instance& running, const edge_settings& settings)
--- a/packages/edge/src/peer_network.cpp
+++ b/packages/edge/src/peer_network.cpp
@@ -310,18 +310,20 @@
     intake.frames.ledger.budget.kept_for_ordinary = 0;
 }
 
-std::shared_ptr<peer_network> open_peer_network(asio::io_context& context, const endpoint& listen,
-                                                peer_intake& intake, peer_handlers handlers)
+result<std::shared_ptr<peer_network>, boost::system::error_code> open_peer_network(asio::io_context& context,
+                                                                                   const endpoint& listen,
+                                                                                   peer_intake& intake,
+                                                                                   peer_handlers handlers)
 {
     auto network = std::make_shared<peer_network>(context, intake, std::move(handlers));
-    if (!open_acceptor(network->acceptor, listen)) {
-        return nullptr;
+    if (const auto error = open_acceptor(network->acceptor, listen)) {
+        return fail<std::shared_ptr<peer_network>>(error);
     }
     const auto on_accepted = [network](tcp::socket socket) {
         start_accepted_link(network, std::move(socket));
     };
     spawn_task(context, accept_connections(network->acceptor, intake.links, on_accepted), "accept_links");
-    return network;
+    return succeed<boost::system::error_code>(std::move(network));
 }
 
 void add_peer(peer_network& network, const std::string& address)
--- a/packages/edge/src/peer_network.hpp
+++ b/packages/edge/src/peer_network.hpp
@@ -41,9 +41,10 @@
 /// The links of this instance. All functions must be called in the thread of its io_context.
 struct peer_network;
 
-/// Listens at @p listen. @return null if the port cannot be bound.
-std::shared_ptr<peer_network> open_peer_network(boost::asio::io_context& context, const endpoint& listen,
-                                                peer_intake& intake, peer_handlers handlers);
+/// Listens at @p listen. @return the links, or the error of the system if the address cannot be listened at.
+result<std::shared_ptr<peer_network>, boost::system::error_code>
+open_peer_network(boost::asio::io_context& context, const endpoint& listen, peer_intake& intake,
+                  peer_handlers handlers);
 
 /// Opens a link to @p address ("ip:port") and reopens it after failures until remove_peer. Does nothing if
 /// the link exists.
--- a/packages/edge/src/service_ports.cpp
+++ b/packages/edge/src/service_ports.cpp
@@ -1,4 +1,5 @@
 // Ports for the platform and for callers' look-ups: directory, readiness, metrics.
+#include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
@@ -155,23 +156,24 @@
     }
 }
 
-bool open_port(control_state& state, limited_port& port, const endpoint& address, port_handler handler)
+boost::system::error_code open_port(control_state& state, limited_port& port, const endpoint& address,
+                                    port_handler handler)
 {
     auto acceptor = std::make_shared<tcp::acceptor>(state.context);
-    if (!open_acceptor(*acceptor, address)) {
-        return false;
+    if (const auto error = open_acceptor(*acceptor, address)) {
+        return error;
     }
     auto shared = std::make_shared<const port_handler>(std::move(handler));
     const auto on_accepted = [&state, &port, acceptor, shared](tcp::socket socket) {
         start_connection(state, port, std::move(socket), shared);
     };
     spawn_task(state.context, accept_connections(*acceptor, port, on_accepted), "accept_service");
-    return true;
+    return {};
 }
 
 } // namespace
 
-bool open_service_ports(control_state& state)
+std::optional<start_failure> open_service_ports(control_state& state)
 {
     const steering::connection_limits limits =
         find_connection_limits(state.settings.descriptors, state.settings.memory_mb);
@@ -179,12 +181,26 @@
     open_limits(state.readiness_port, "readiness", limits.readiness, state.metric_registry);
     open_limits(state.metrics_port, "metrics", limits.metrics, state.metric_registry);
     using request_type = platform::http_request;
-    return open_port(state, state.directory_port, state.settings.directory,
-                     [&state](const request_type& request) { return answer_directory(state, request); }) &&
-           open_port(state, state.readiness_port, state.settings.readiness,
-                     [&state](const request_type& request) { return answer_readiness(state, request); }) &&
-           open_port(state, state.metrics_port, state.settings.metrics,
-                     [&state](const request_type& request) { return answer_metrics(state, request); });
+    struct service_port {
+        instance_port name;
+        limited_port& port;
+        const endpoint& address;
+        port_handler handler;
+    };
+    const std::array<service_port, 3> ports = {{
+        {instance_port::directory, state.directory_port, state.settings.directory,
+         [&state](const request_type& request) { return answer_directory(state, request); }},
+        {instance_port::readiness, state.readiness_port, state.settings.readiness,
+         [&state](const request_type& request) { return answer_readiness(state, request); }},
+        {instance_port::metrics, state.metrics_port, state.settings.metrics,
+         [&state](const request_type& request) { return answer_metrics(state, request); }},
+    }};
+    for (const service_port& service : ports) {
+        if (const auto error = open_port(state, service.port, service.address, service.handler)) {
+            return start_failure{service.name, service.address, error};
+        }
+    }
+    return std::nullopt;
 }
 
 } // namespace camphorknot::edge
--- a/packages/edge/src/sockets.cpp
+++ b/packages/edge/src/sockets.cpp
@@ -43,7 +43,7 @@
     socket.close(ignored);
 }
 
-bool open_acceptor(tcp::acceptor& acceptor, const endpoint& address)
+boost::system::error_code open_acceptor(tcp::acceptor& acceptor, const endpoint& address)
 {
     boost::system::error_code error;
     acceptor.open(tcp::v4(), error);
@@ -56,7 +56,7 @@
     if (!error) {
         acceptor.listen(asio::socket_base::max_listen_connections, error);
     }
-    return !error;
+    return error;
 }
 
 } // namespace camphorknot::edge
--- a/packages/edge/src/sockets.hpp
+++ b/packages/edge/src/sockets.hpp
@@ -23,7 +23,7 @@
 /// Closes the socket with a reset, so that the peer cannot take it for a regular end of the connection.
 void abort_connection(boost::asio::ip::tcp::socket& socket);
 
-/// Opens a listening socket. @return whether the address could be bound.
-bool open_acceptor(boost::asio::ip::tcp::acceptor& acceptor, const endpoint& address);
+/// Opens a listening socket. @return the error of the system, if the address cannot be listened at.
+boost::system::error_code open_acceptor(boost::asio::ip::tcp::acceptor& acceptor, const endpoint& address);
 
 } // namespace camphorknot::edge
--- a/packages/edge/src/traffic.cpp
+++ b/packages/edge/src/traffic.cpp
@@ -231,14 +231,17 @@
 
 } // namespace
 
-bool start_traffic(traffic_state& state)
+std::optional<start_failure> start_traffic(traffic_state& state)
 {
-    if (!open_acceptor(state.acceptor, state.settings.front)) {
-        return false;
+    const edge_settings& settings = state.settings;
+    if (const auto error = open_acceptor(state.acceptor, settings.front)) {
+        return start_failure{instance_port::front, settings.front, error};
     }
-    const bool takes_peers = state.settings.relay.port != 0;
-    if (takes_peers && !open_acceptor(state.relay_acceptor, state.settings.relay)) {
-        return false;
+    const bool takes_peers = settings.relay.port != 0;
+    if (takes_peers) {
+        if (const auto error = open_acceptor(state.relay_acceptor, settings.relay)) {
+            return start_failure{instance_port::relay, settings.relay, error};
+        }
     }
     state.pool.own_domain = state.settings.identity.failure_domain;
     state.pool.own_region = state.settings.identity.region;
@@ -258,7 +261,7 @@
     }
     schedule_tick(state);
     state.thread = std::thread([&state] { run_handlers(state.context, "traffic", state.metric_registry); });
-    return true;
+    return std::nullopt;
 }
 
 void post_view(traffic_state& state, traffic_view view)
--- a/packages/edge/src/traffic.hpp
+++ b/packages/edge/src/traffic.hpp
@@ -8,6 +8,7 @@
 #include <list>
 #include <thread>
 
+#include "camphorknot/edge/instance.hpp"
 #include "camphorknot/edge/settings.hpp"
 #include "camphorknot/kernel.hpp"
 #include "connection_ends.hpp"
@@ -167,8 +168,8 @@
     std::function<void()> on_stopped; ///< Called once, when the graceful stop is complete.
 };
 
-/// Opens the callers' port and starts the thread. @return whether the port could be bound.
-bool start_traffic(traffic_state& state);
+/// Opens the ports for requests and starts the thread. @return the failure, if a port cannot be opened.
+std::optional<start_failure> start_traffic(traffic_state& state);
 
 /// Hands over a view. Safe to call from any thread.
 void post_view(traffic_state& state, traffic_view view);
