A connection is closed once its caller has the last answer

Seen by callers: of an answer of 300 kB that is read slowly, and after which the connection closes (Connection: close, or a stop), the rest is lost if the caller sends anything after it; a caller that still sends a body when it is refused with 413 gets a reset.

Cause: the session read what the caller still sends only if bytes were there at the moment of the close, and for a second. Bytes that come later reset the connection, and the kernel drops what it has not sent yet. After a malformed or too long request nothing was read.

Change: input is read and dropped until the caller closes, or has acknowledged all output and sent nothing for a second; at most 4 MB, half a minute and the stop's end, and the connection may be closed for another one meanwhile. A refused message is handled the same way.

--- a/packages/edge/src/request_reader.cpp
+++ b/packages/edge/src/request_reader.cpp
@@ -11,6 +11,7 @@
 #include "pipeline.hpp"
 #include "relay.hpp"
 #include "send_record.hpp"
+#include "sockets.hpp"
 
 namespace camphorknot::edge {
 
@@ -23,11 +24,13 @@
 
 // Time for a caller to receive an answer.
 constexpr duration write_timeout = std::chrono::seconds(10);
-// Minimum rate at which a body must arrive, in addition to the time for the head; the slowest callers have 1
-// Mbit/s.
+// Minimum rate at which a body must arrive, in addition to the time for the head; the slowest
+// callers have 1 Mbit/s.
 constexpr double min_bytes_per_s = 64 * 1024;
 // A caller that sends the rest of a refused request gets the answer only if its bytes are read.
-constexpr duration max_discard_time = std::chrono::seconds(1);
+constexpr duration max_discard_time = std::chrono::seconds(30);
+// A caller that sends nothing for so long, and has received the answer, sends no more.
+constexpr duration max_discard_pause = std::chrono::seconds(1);
 constexpr std::size_t max_discarded_bytes = std::size_t{4} * 1024 * 1024;
 // Input buffer of a connection; a head, a trailer or a chunk extension may need more, up to the limit for
 // heads.
@@ -148,17 +151,34 @@
 
 asio::awaitable<void> discard_input(traffic_state& state, session_handle connection)
 {
+    tcp::socket& socket = connection->stream.socket();
     boost::system::error_code error;
-    connection->stream.socket().shutdown(tcp::socket::shutdown_send, error);
-    const duration left = state.stop ? state.stop->end_at - boot_now() : max_discard_time;
-    connection->stream.expires_after(std::clamp(left, duration{}, max_discard_time));
+    socket.shutdown(tcp::socket::shutdown_send, error);
+    connection->stream.expires_never();
+    connection->counted->set_phase(steering::connection_phase::reading, boot_now());
+    const time_point latest_end = boot_now() + max_discard_time;
+    asio::steady_timer pause(state.context);
     std::size_t discarded = 0;
     while (!error && discarded < max_discarded_bytes) {
+        const time_point end_at = state.stop ? std::min(latest_end, state.stop->end_at) : latest_end;
+        pause.expires_after(std::clamp(end_at - boot_now(), duration{}, max_discard_pause));
+        pause.async_wait([connection](boost::system::error_code cancelled) {
+            boost::system::error_code ignored; // There may be nothing to cancel.
+            if (!cancelled) {
+                connection->stream.socket().cancel(ignored);
+            }
+        });
         connection->buffer.clear();
-        const auto space = connection->buffer.prepare(input_bytes);
-        const std::size_t count = co_await connection->stream.async_read_some(
-            space, asio::redirect_error(asio::use_awaitable, error));
+        const std::size_t count = co_await socket.async_read_some(
+            connection->buffer.prepare(input_bytes), asio::redirect_error(asio::use_awaitable, error));
+        pause.cancel();
         discarded += count;
+        const bool may_go_on = boot_now() < end_at && !connection->counted->is_closing();
+        if (error == asio::error::operation_aborted && may_go_on && has_unacknowledged(socket)) {
+            error = {};
+        } else if (!error && !may_go_on) {
+            error = asio::error::timed_out;
+        }
     }
 }
 
@@ -461,7 +481,10 @@
             const std::string fault = error.message();
             platform::http_response answer = refuse(state, *request, status_for_error(error),
                                                     "malformed_request", duration{}, {{"fault", fault}});
-            co_await write_answer(connection, request, std::move(answer), false);
+            const auto write_error = co_await write_answer(connection, request, std::move(answer), false);
+            if (!write_error) {
+                co_await discard_input(state, connection);
+            }
             co_return nullptr;
         }
         note_failed_read(*connection, *request, parser, error);
--- a/packages/edge/src/request_reader.hpp
+++ b/packages/edge/src/request_reader.hpp
@@ -38,8 +38,9 @@
 boost::asio::awaitable<std::shared_ptr<caller_request>> read_request(traffic_state& state,
                                                                      session_handle connection);
 
-/// Reads and drops what the caller still sends, until it closes the connection or a second has passed.
-/// Otherwise the unread bytes would reset the connection, and the caller might lose the last answer.
+/// Reads and drops what the caller still sends, until it closes the connection, or has received the answer
+/// and sent nothing for a second, or half a minute has passed. Otherwise the unread bytes would reset the
+/// connection, and the caller might lose the last answer.
 boost::asio::awaitable<void> discard_input(traffic_state& state, session_handle connection);
 
 /// Writes the answer to @p request.
--- a/packages/edge/src/sessions.cpp
+++ b/packages/edge/src/sessions.cpp
@@ -141,7 +141,10 @@
     connection->watch.close(state.stop ? connection_end::stopping : connection_end::closing_answer,
                             connection->buffer.size() > 0);
     const bool is_closing = connection->counted->is_closing();
-    if (!is_closing && peek(connection->stream.socket()) == socket_state::readable) {
+    const socket_state input = peek(connection->stream.socket());
+    const bool is_read = input == socket_state::readable ||
+                         (input == socket_state::quiet && has_unacknowledged(connection->stream.socket()));
+    if (!is_closing && is_read) {
         const unfinished_request counted(state); // The last answer has not arrived.
         co_await discard_input(state, connection);
     }
--- a/packages/edge/src/sockets.cpp
+++ b/packages/edge/src/sockets.cpp
@@ -1,7 +1,9 @@
 #include "sockets.hpp"
 
 #include <boost/asio/ip/address.hpp>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace camphorknot::edge {
@@ -36,6 +38,12 @@
     return would_block ? socket_state::quiet : socket_state::closed;
 }
 
+bool has_unacknowledged(tcp::socket& socket)
+{
+    int bytes = 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 void abort_connection(tcp::socket& socket)
 {
     boost::system::error_code ignored; // The socket is closed in any case.
--- a/packages/edge/src/sockets.hpp
+++ b/packages/edge/src/sockets.hpp
@@ -20,6 +20,9 @@
 /// Inspects a socket without consuming bytes.
 socket_state peek(boost::asio::ip::tcp::socket& socket);
 
+/// @return whether bytes that were written have not been acknowledged by the peer's system.
+bool has_unacknowledged(boost::asio::ip::tcp::socket& socket);
+
 /// Closes the socket with a reset, so that the peer cannot take it for a regular end of the connection.
 void abort_connection(boost::asio::ip::tcp::socket& socket);
 
