A long answer is written for as long as its caller reads

Seen by callers: an answer that takes longer than 10 s on a slow link ends in the middle.

Cause: one time limit of 10 s for the whole answer, whatever its length and however much the caller reads.

Change: 10 s for each part of an answer, and for all of it 10 s and its length at the slowest rate that is taken of uploads (64 kB/s).

Evidence, x86-64, beside other load: an answer of 10 MB at 650 kB/s was cut (connection ended after 13.6 s) in one run before, and is complete after 15.4 s in one run after.

--- a/packages/edge/src/request_reader.cpp
+++ b/packages/edge/src/request_reader.cpp
@@ -22,9 +22,9 @@
 
 namespace {
 
-// Time for a caller to receive an answer.
+// Time in which a caller must receive a further part of an answer.
 constexpr duration write_timeout = std::chrono::seconds(10);
-// Minimum rate at which a body must arrive, in addition to the time for the head; the slowest
+// Minimum rate at which a body must arrive, or be received, in addition to the time for the head; the slowest
 // callers have 1 Mbit/s.
 constexpr double min_bytes_per_s = 64 * 1024;
 // A caller that sends the rest of a refused request gets the answer only if its bytes are read.
@@ -193,8 +193,15 @@
     }
     boost::system::error_code error;
     connection->is_writing = true;
-    connection->stream.expires_after(write_timeout);
-    co_await http::async_write(connection->stream, answer, asio::redirect_error(asio::use_awaitable, error));
+    const auto transfer = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(static_cast<double>(answer.body().size()) / min_bytes_per_s));
+    const time_point latest_end = boot_now() + write_timeout + transfer;
+    http::response_serializer<platform::shared_body, platform::message_fields> serializer(answer);
+    while (!error && !serializer.is_done()) {
+        connection->stream.expires_after(std::clamp(latest_end - boot_now(), duration{}, write_timeout));
+        co_await http::async_write_some(connection->stream, serializer,
+                                        asio::redirect_error(asio::use_awaitable, error));
+    }
     connection->is_writing = false;
     if (std::exchange(connection->is_cancel_due, false)) {
         connection->stream.cancel();
--- a/packages/edge/tests/edge_close_test.cpp
+++ b/packages/edge/tests/edge_close_test.cpp
@@ -8,6 +8,7 @@
 #include "edge_fixture.hpp"
 
 using namespace edge_tests;
+using steady = std::chrono::steady_clock;
 
 namespace {
 
@@ -129,6 +130,31 @@
     CHECK(connection.parse().first == 413);
 }
 
+// Guards against a time limit for the whole answer, in which a long one cannot be read.
+TEST_CASE("edge close: an answer that takes longer than the write timeout is complete if the caller reads on")
+{
+    edge_fixture fixture;
+    constexpr std::size_t body_bytes = 10'000'000;
+    constexpr std::size_t bytes_per_s = 650'000;
+    fixture.servers.front()->answer_bytes = body_bytes;
+    caller_request request = make_request(http::verb::get, "/manual/1", "long");
+    request.keep_alive(false);
+    slow_caller connection(fixture.settings.front.port);
+    REQUIRE(connection.send(to_text(request)));
+    const auto started = steady::now();
+    while (!connection.is_closed) {
+        const auto allowed = bytes_per_s * static_cast<std::size_t>((steady::now() - started) / 10ms) / 100;
+        while (!connection.is_closed && connection.received.size() < allowed) {
+            connection.read_some(65536);
+        }
+        std::this_thread::sleep_for(10ms);
+    }
+    CHECK(steady::now() - started > 12s);
+    const auto [status, size] = connection.parse();
+    CHECK(status == 200);
+    CHECK(size == body_bytes);
+}
+
 // Guards against a half-close that is taken for the end of the connection while a target works.
 TEST_CASE("edge close: a caller that sends no more gets the answer of a target that takes a second")
 {
