Tests: servers of the crash tests used what their fixture had destroyed

The product is not concerned. The thread sanitizer reported that the servers' threads, when a server starts again, read the fixture's failure domains and list of servers while these are destroyed; the callback now uses the store only, which outlives the servers.

--- a/packages/edge/tests/edge_crash_test.cpp
+++ b/packages/edge/tests/edge_crash_test.cpp
@@ -27,9 +27,14 @@
                   const std::vector<std::string>& target_domains = {"rvk-a"})
         : fleet_fixture(server_count, instance_count, target_domains)
     {
-        for (auto& server : servers) {
-            server->on_restart = [this, running = server.get()] {
-                register_server(running->id, running->port, "ready", 100 + running->crashes);
+        for (std::size_t number = 0; number < servers.size(); ++number) {
+            standins::server_standin* server = servers.at(number).get();
+            // Of the fixture it uses the store only, which outlives the servers.
+            server->on_restart = [this, server, domain = server_domains.at(number % server_domains.size())] {
+                standins::put_row(*store, "servers", server->id,
+                                  standins::server_row("desk",
+                                                       local_ip() + ":" + std::to_string(server->port),
+                                                       domain, "v1", "ready", 0, 100 + server->crashes));
             };
             standins::set_crash_marker(*server, "fatal");
         }
@@ -261,6 +266,7 @@
         std::this_thread::sleep_for(100ms);
     }
     for (auto& server : fixture.servers) {
+        const std::lock_guard lock(server->guard);
         server->default_behavior = standins::server_behavior::serve;
     }
     CHECK(eventually([&] {
