fleet_load: load on a fleet of processes that judges requests without an answer

Seen: users reported requests that were accepted and ended without an answer, from a run of 295 real processes. The soak leaves out what lies near a stop and has answers of 20 ms, so that it can't see them.

It judges by what callers and servers saw.

--- /dev/null
+++ b/tools/fleet_load/judge.cpp
@@ -0,0 +1,140 @@
+#include "judge.hpp"
+
+#include <algorithm>
+#include <sys/wait.h>
+
+namespace fleet_load {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto loss_slack = 200ms;
+// Between the caller's clock and that of the instance.
+constexpr auto deadline_slack = 100ms;
+constexpr clock::time_point never{};
+
+bool is_within(clock::time_point at, clock::time_point from, clock::duration length)
+{
+    return from != never && at >= from && at <= from + length;
+}
+
+bool is_around_planned_work(const run_state& run, const attempt_record& attempt)
+{
+    const instance_process& instance = run.fleet.instances.at(attempt.instance);
+    if (is_within(attempt.ended, life_of(run, attempt).stop_sent, grace + 1s)) {
+        return true;
+    }
+    const bool reloaded = std::ranges::any_of(instance.reloads, [&](clock::time_point at) {
+        return attempt.sent <= at + config_apply && attempt.ended >= at;
+    });
+    return reloaded || std::ranges::any_of(run.fleet.configurations, [&](clock::time_point at) {
+               return is_within(attempt.ended, at, config_apply + 1s);
+           });
+}
+
+// Whether a server was at work on the request when it ended.
+bool is_at_work(const run_state& run, const attempt_record& attempt)
+{
+    const std::vector<server_run> runs = runs_of(run, attempt);
+    return std::ranges::any_of(runs, [&](const server_run& at_server) {
+        return at_server.end == run_end::working ||
+               (at_server.end == run_end::left && at_server.ended >= attempt.ended - loss_slack);
+    });
+}
+
+// The end of a stop, at which requests from its beginning may be broken off.
+bool is_end_of_stop(const run_state& run, const attempt_record& attempt)
+{
+    const clock::time_point stop_sent = life_of(run, attempt).stop_sent;
+    return stop_sent != never && attempt.sent <= stop_sent + 3s &&
+           attempt.ended >= stop_sent + grace * 5 / 6 && is_at_work(run, attempt);
+}
+
+std::string clauses_of_cut(const run_state& run, const attempt_record& attempt)
+{
+    std::string clauses;
+    const bool ran = !runs_of(run, attempt).empty();
+    if (ran && attempt.kept) {
+        clauses += 'a';
+    }
+    const bool is_whole = attempt.last_byte != never;
+    if (is_whole && is_around_planned_work(run, attempt) && !is_end_of_stop(run, attempt) &&
+        (ran || attempt.ended - attempt.last_byte > loss_slack)) {
+        clauses += 'b';
+    }
+    return clauses.empty() && ran ? "o" : clauses;
+}
+
+std::string clauses_of_answer(const run_state& run, const attempt_record& attempt)
+{
+    const clock::time_point stop_sent = life_of(run, attempt).stop_sent;
+    const bool is_replaced = (attempt.status == 502 || attempt.status == 504) && !attempt.is_signed &&
+                             stop_sent != never && attempt.ended >= stop_sent && is_at_work(run, attempt);
+    return is_replaced && !is_end_of_stop(run, attempt) ? "c" : "";
+}
+
+std::string clauses_of(const run_state& run, const attempt_record& attempt)
+{
+    if (attempt.ended >= attempt.deadline - deadline_slack) {
+        return {};
+    }
+    if (attempt.end == attempt_end::cut) {
+        return clauses_of_cut(run, attempt);
+    }
+    return attempt.end == attempt_end::answered ? clauses_of_answer(run, attempt) : std::string();
+}
+
+bool is_beside_stall(const run_state& run, const attempt_record& attempt)
+{
+    return std::ranges::any_of(run.fleet.instances.at(attempt.instance).stalls, [&](const stall& each) {
+        return attempt.ended >= each.from && attempt.ended <= each.to + 500ms;
+    });
+}
+
+} // namespace
+
+const process_life& life_of(const run_state& run, const attempt_record& attempt)
+{
+    const std::vector<process_life>& lives = run.fleet.instances.at(attempt.instance).lives;
+    const auto later =
+        std::ranges::find_if(lives, [&](const process_life& life) { return life.started > attempt.sent; });
+    return later == lives.begin() ? lives.front() : *(later - 1);
+}
+
+std::vector<server_run> runs_of(const run_state& run, const attempt_record& attempt)
+{
+    const auto found = run.fleet.runs.find(attempt.id);
+    return found == run.fleet.runs.end() ? std::vector<server_run>() : found->second;
+}
+
+std::vector<finding> judge_attempts(const run_state& run)
+{
+    std::vector<finding> findings;
+    for (const attempt_record& attempt : run.callers.attempts) {
+        const std::string clauses = clauses_of(run, attempt);
+        if (!clauses.empty()) {
+            findings.push_back({clauses, &attempt, is_beside_stall(run, attempt)});
+        }
+    }
+    return findings;
+}
+
+std::vector<unexpected_end> find_unexpected_ends(const run_state& run)
+{
+    std::vector<unexpected_end> ends;
+    for (const instance_process& instance : run.fleet.instances) {
+        for (const process_life& life : instance.lives) {
+            if (life.ended == never || life.killed != never) {
+                continue;
+            }
+            const bool is_clean = WIFEXITED(life.status) && WEXITSTATUS(life.status) == 0;
+            if (life.stop_sent == never || !is_clean) {
+                ends.push_back({instance.name, life.ended, life.status});
+            }
+        }
+    }
+    return ends;
+}
+
+} // namespace fleet_load
