fleet_load: this program's own delays, and stops of processes that have just started

Three processes counted as ended by themselves that had got SIGTERM before they had installed their handlers. Cases of a stop were listed beside the nearest reload, even a later one.

Change: the time by which this program was late is taken off the time that a request waited that did not run; what remains over 0.2 s counts as before, the others are printed under a heading of their own. Processes are stopped and reloaded from 2 s after their start, and one that ends by the SIGTERM that it was sent has not ended by itself. A case is listed by the stop of its process, otherwise by the last event before its end.

--- a/tools/fleet_load/judge.hpp
+++ b/tools/fleet_load/judge.hpp
@@ -14,7 +14,8 @@
     ///    after it began to run, or over 0.2 s after its last byte;
     /// c: after SIGTERM, answered 502 or 504 by the instance while a server was at work on it;
     /// o: ran and ended without an answer on a new connection, at any other time; not judged;
-    /// p: answered 502 or 504 by the instance in any other way; not judged.
+    /// l: did not run, and ended over 0.2 s after its last byte only because this program was late; not
+    /// judged; p: answered 502 or 504 by the instance in any other way; not judged.
     std::string clauses;
     const attempt_record* attempt = nullptr;
     bool beside_stall = false; ///< During a stall of the instance or up to 0.5 s after it.
--- a/tools/fleet_load/planned_work.cpp
+++ b/tools/fleet_load/planned_work.cpp
@@ -30,6 +30,14 @@
     return instance.lives.back().stop_sent != clock::time_point{};
 }
 
+// Before that the process may not have installed its handlers.
+bool has_started(instance_process& instance)
+{
+    constexpr auto start_time = 2s;
+    const process_life* life = running_life(instance);
+    return life != nullptr && clock::now() - life->started > start_time;
+}
+
 // A third of the instances at most are stopped at a time.
 void stop_instance(run_state& run, std::size_t index)
 {
@@ -37,7 +45,7 @@
     const auto stopping = std::ranges::count_if(instances, is_stopping);
     instance_process& instance = instances.at(index);
     if (3 * static_cast<std::size_t>(stopping + 1) > instances.size() || is_stopping(instance) ||
-        running_life(instance) == nullptr) {
+        !has_started(instance)) {
         return;
     }
     ++run.events["stop"];
@@ -46,10 +54,8 @@
 
 void reload_instance(run_state& run, std::size_t index)
 {
-    constexpr auto start_time = 1s; // Before that the process may not have installed its handler.
     instance_process& instance = run.fleet.instances.at(index);
-    const process_life* life = running_life(instance);
-    if (life != nullptr && clock::now() - life->started > start_time) {
+    if (has_started(instance)) {
         ++run.events["reload"];
         signal_process(instance, SIGHUP);
     }
--- a/tools/fleet_load/report.cpp
+++ b/tools/fleet_load/report.cpp
@@ -25,16 +25,20 @@
 void take_nearer(moment& nearest, const char* name, clock::time_point event, clock::time_point at)
 {
     const double offset_s = seconds_between(event, at);
-    if (event != clock::time_point{} && std::abs(offset_s) < std::abs(nearest.offset_s)) {
+    if (offset_s >= 0 && offset_s < nearest.offset_s) {
         nearest = {name, offset_s};
     }
 }
 
+// The stop of the process if there is one, otherwise the last event before the end of the request.
 moment nearest_moment(const run_state& run, const attempt_record& attempt)
 {
     const instance_process& instance = run.fleet.instances.at(attempt.instance);
     moment nearest;
-    take_nearer(nearest, "stop", life_of(run, attempt).stop_sent, attempt.ended);
+    const clock::time_point stop_sent = life_of(run, attempt).stop_sent;
+    if (stop_sent != clock::time_point{} && stop_sent <= attempt.ended) {
+        return {"stop", seconds_between(stop_sent, attempt.ended)};
+    }
     for (const clock::time_point at : instance.reloads) {
         take_nearer(nearest, "reload", at, attempt.ended);
     }
@@ -43,7 +47,6 @@
     }
     for (const stall& each : instance.stalls) {
         take_nearer(nearest, "stall", each.from, attempt.ended);
-        take_nearer(nearest, "stall_end", each.to, attempt.ended);
     }
     return nearest;
 }
@@ -97,10 +100,7 @@
     std::string text = "  " + found.clauses + " " + run.fleet.instances.at(attempt.instance).name +
                        offset_text("at", seconds_between(run.started, attempt.ended)) +
                        offset_text(nearest.name, nearest.offset_s);
-    if (life.stop_sent != clock::time_point{}) {
-        text += offset_text("SIGTERM", seconds_between(life.stop_sent, attempt.ended));
-    }
-    if (life.ended != clock::time_point{}) {
+    if (life.stop_sent != clock::time_point{} && life.ended != clock::time_point{}) {
         text += offset_text("process_end", seconds_between(life.ended, attempt.ended));
     }
     text += " " + route_of(run, attempt) + " " + attempt.id + (attempt.kept ? " kept" : " new") +
@@ -124,7 +124,7 @@
 void print_findings(const run_state& run, const std::vector<finding>& findings, const char* title,
                     auto filter)
 {
-    constexpr int max_printed = 60;
+    constexpr int max_printed = 40;
     const auto count = std::ranges::count_if(findings, filter);
     if (count == 0) {
         return;
@@ -169,7 +169,7 @@
     }
     print_counts("by clause", by_clause);
     print_counts("by instance", by_instance);
-    print_counts("by moment (whole seconds from the nearest event)", by_moment);
+    print_counts("by moment (whole seconds from the event)", by_moment);
     print_counts("by route", by_route);
 }
 
@@ -239,6 +239,8 @@
                    [&](const finding& found) { return is_judged(found) && found.beside_stall; });
     print_findings(run, findings, "not judged: cut on a new connection, without planned work near",
                    [](const finding& found) { return found.clauses == "o"; });
+    print_findings(run, findings, "not judged: did not run, and this program was late itself",
+                   [](const finding& found) { return found.clauses == "l"; });
     print_findings(run, findings, "not judged: other answers 502 and 504 of the instances",
                    [](const finding& found) { return found.clauses == "p"; });
     print_ends(run, ends);
