Stop: requests are taken for three seconds at most, and a failed accept keeps the listener

What callers would see: with a stop of 10 s, requests that come up to 5 s after the signal were taken; one whose target slows down would be broken off at the end, where the rule excuses only requests of the first three seconds. A listener whose last accept failed, as without free descriptors, was closed with its backlog. A connection at its idle limit was closed without a look at its input. Cause: found by the review of the fixes, by reading; the times of a stop had been chosen for 6 s, the default that was always used. Change: requests are taken for half of the stop time and at most three seconds, after which the listener may close (idle_end_at is the same moment now and is gone); a failed accept is tried again at the next check; idle connections look for input as stopping ones do.

--- a/packages/decision/include/camphorknot/steering/stop_plan.hpp
+++ b/packages/decision/include/camphorknot/steering/stop_plan.hpp
@@ -10,9 +10,10 @@
 /// Times of a stop, from the signal to the end of the process. All lie within the stop time.
 struct stop_plan {
     time_point began_at{};
-    time_point take_until{};    ///< Requests whose first byte comes later are refused.
+    /// Requests whose first byte comes later are refused. The listening sockets are closed from then on, once
+    /// no request is in progress.
+    time_point take_until{};
     time_point close_idle_at{}; ///< Connections without a request are closed.
-    time_point idle_end_at{};   ///< The listening sockets are closed if no request is in progress.
     time_point accept_until{};  ///< The listening sockets are closed in any case.
     time_point answer_by{};     ///< Requests without an answer get one of the instance's own.
     time_point end_at{};        ///< The process ends, also if an answer is not written.
--- a/packages/decision/src/steering/stop_plan.cpp
+++ b/packages/decision/src/steering/stop_plan.cpp
@@ -13,12 +13,12 @@
 constexpr double end_margin_fraction = 0.4;
 // Requests that come later than this fraction of the stop time might have to be broken off at the end.
 constexpr double taking_fraction = 0.5;
+// By then callers have received other addresses from the directory.
+constexpr duration max_taking_time = std::chrono::milliseconds(3000);
 // Callers use an answer of the directory until it expires.
 constexpr double accepting_fraction = 0.6;
 // Idle connections stay open until the directory's answers with the instance's address have expired.
 constexpr duration max_idle_time = std::chrono::milliseconds(2500);
-// Callers first receive other addresses from the directory.
-constexpr duration max_idle_stop = std::chrono::milliseconds(3000);
 constexpr double idle_fraction = 0.45;
 // Service times vary: a request that must not run twice needs the larger reserve.
 constexpr double reserve_repeatable = 1.25;
@@ -39,9 +39,8 @@
     const duration margin = std::min(max_answer_margin, scaled(stop_time, answer_margin_fraction));
     stop_plan plan;
     plan.began_at = began_at;
-    plan.take_until = began_at + scaled(stop_time, taking_fraction);
+    plan.take_until = began_at + std::min(max_taking_time, scaled(stop_time, taking_fraction));
     plan.close_idle_at = began_at + std::min(max_idle_time, scaled(stop_time, idle_fraction));
-    plan.idle_end_at = began_at + std::min(max_idle_stop, scaled(stop_time, taking_fraction));
     plan.accept_until = began_at + scaled(stop_time, accepting_fraction);
     plan.answer_by = began_at + stop_time - margin;
     plan.end_at = began_at + stop_time - scaled(margin, end_margin_fraction);
--- a/packages/decision/tests/steering_stop_plan_test.cpp
+++ b/packages/decision/tests/steering_stop_plan_test.cpp
@@ -24,8 +24,9 @@
          {duration(500ms), duration(2s), duration(6s), duration(10s), duration(60s)}) {
         const stop_plan plan = make_stop_plan(began_at, stop_time);
         CHECK(began_at < plan.close_idle_at);
-        CHECK(plan.close_idle_at <= plan.idle_end_at);
-        CHECK(plan.idle_end_at <= plan.take_until);
+        CHECK(plan.close_idle_at <= plan.take_until);
+        // A later request may be at its target at the end, and its caller has other addresses.
+        CHECK(plan.take_until <= began_at + 3s);
         CHECK(plan.take_until < plan.accept_until);
         CHECK(plan.accept_until < plan.answer_by);
         CHECK(plan.answer_by < plan.end_at);
--- a/packages/edge/src/limited_port.cpp
+++ b/packages/edge/src/limited_port.cpp
@@ -128,6 +128,7 @@
     if (error != asio::error::would_block) {
         log_event_limited(port.log, log_severity::warning, "accept_failed",
                           {{"port", port.name}, {"error", error.message()}});
+        return;
     }
     acceptor.close(error);
 }
--- a/packages/edge/src/sessions.cpp
+++ b/packages/edge/src/sessions.cpp
@@ -45,10 +45,10 @@
         }
         const time_point now = boot_now();
         const bool stop_due = state.stop && now > state.stop->close_idle_at;
-        if (stop_due && peek(connection->stream.socket()) == socket_state::readable) {
+        const bool is_idle = now - idle_since > idle_limit;
+        if ((stop_due || is_idle) && peek(connection->stream.socket()) == socket_state::readable) {
             co_return true; // A request came in the meantime.
         }
-        const bool is_idle = now - idle_since > idle_limit;
         const bool is_over = stop_due || connection->counted->is_closing() || is_idle;
         if (error != asio::error::operation_aborted || is_over) {
             if (is_idle && !stop_due) {
--- a/packages/edge/src/traffic_stop.cpp
+++ b/packages/edge/src/traffic_stop.cpp
@@ -70,8 +70,8 @@
 void check_stop(traffic_state& state, time_point now)
 {
     const steering::stop_plan& stop = *state.stop;
-    const bool is_idle = state.unfinished_requests == 0 && now >= stop.idle_end_at;
-    if ((is_idle || now >= stop.accept_until) && state.acceptor.is_open()) {
+    const bool is_idle = state.unfinished_requests == 0 && now >= stop.take_until;
+    if (is_idle || now >= stop.accept_until) {
         accept_last_sessions(state, state.acceptor, session_kind::caller);
         accept_last_sessions(state, state.relay_acceptor, session_kind::peer);
     }
@@ -81,7 +81,8 @@
     }
     // An open connection may hold a request that has not been read: it is closed by its own session.
     const std::size_t open_connections = state.sessions.table.connections.size();
-    const bool is_done = !state.acceptor.is_open() && open_connections == 0;
+    const bool is_listening = state.acceptor.is_open() || state.relay_acceptor.is_open();
+    const bool is_done = !is_listening && open_connections == 0;
     if ((is_done || now >= stop.end_at) && state.on_stopped) {
         log_event(log_severity::info, "traffic_stopped",
                   {{"running", std::to_string(state.running_requests)},
--- a/packages/edge/tests/edge_codec_test.cpp
+++ b/packages/edge/tests/edge_codec_test.cpp
@@ -224,8 +224,9 @@
     CHECK(absent->bounds.stop_time == 6s);
     CHECK(absent->bounds.exposure_share == 0.1);
     CHECK(parse(""));
-    for (const std::string invalid : {R"({"grace_s":"long"})", R"({"grace_s":[10]})", R"({"grace_s":true})",
-                                      R"({"exposure_share":1.5})", R"({"exposure_slack":"many"})", "6"}) {
+    for (const std::string invalid :
+         {R"({"grace_s":"long"})", R"({"grace_s":[10]})", R"({"grace_s":true})", R"({"exposure_share":1.5})",
+          R"({"exposure_slack":"many"})", R"({"grace_s":0})", R"({"budget_window_s":0})", "6"}) {
         const auto read = parse(invalid);
         CAPTURE(invalid);
         REQUIRE_FALSE(read);
