--- a/packages/edge/src/limited_port.hpp
+++ b/packages/edge/src/limited_port.hpp
@@ -68,8 +68,8 @@
                    std::function<void(boost::asio::ip::tcp::socket)> on_accepted);
 
 /// Accepts the connections that wait in the acceptor's backlog, then closes it. Closing it alone would reset
-/// connections whose callers have sent requests already. After an error, as when the process has no descriptor
-/// left, the acceptor stays open.
+/// connections whose callers have sent requests already. After an error, as when the process has no
+/// descriptor left, the acceptor stays open.
 void accept_last_connections(boost::asio::ip::tcp::acceptor& acceptor, limited_port& port,
                              const std::function<void(boost::asio::ip::tcp::socket)>& on_accepted);
 
