Tests: vectors of the stop tests reserve their size

The linter refuses push_back in a loop without it (performance-inefficient-vector-operation). Format and linter pass on the file; the checks are the same. The program of these tests was not built again after this change.

--- a/packages/daemon/tests/crowd/process_stop_test.cpp
+++ b/packages/daemon/tests/crowd/process_stop_test.cpp
@@ -51,12 +51,14 @@
     kill(process.pid, SIGSTOP);
     std::this_thread::sleep_for(50ms);
     std::vector<std::future<unsigned>> answers;
+    answers.reserve(caller_count);
     for (std::size_t number = 0; number < caller_count; ++number) {
         answers.push_back(send_request(process));
     }
     std::this_thread::sleep_for(450ms);
     kill(process.pid, SIGCONT);
     std::vector<unsigned> statuses;
+    statuses.reserve(answers.size());
     for (std::future<unsigned>& answer : answers) {
         statuses.push_back(answer.get());
     }
