--- a/packages/edge/src/relay.cpp
+++ b/packages/edge/src/relay.cpp
@@ -169,7 +169,7 @@
     co_return answer;
 }
 
-// Ends a send whose outcome is unknown. The reset stops the target's work, whose answer nobody reads.
+// Ends a send whose outcome is unknown. The reset stops the target's work on it.
 void end_unrecorded_send(traffic_state& state, caller_request& request, time_point now)
 {
     if (request.active_exchange != nullptr) {
