--- a/packages/edge/tests/edge_connection_end_test.cpp
+++ b/packages/edge/tests/edge_connection_end_test.cpp
@@ -133,7 +133,7 @@
     CHECK(fixture.log.lines_of("connection_closed_unanswered").empty());
 }
 
-// Guards against a caller that disconnects being reported as a loss, and against a log line without the target.
+// Guards against a caller that disconnects being reported as a loss, or without the target.
 TEST_CASE("edge connection end: a caller that leaves at a target is counted as the caller's own end")
 {
     const bool from_peer = GENERATE(false, true);
