Observability: how a configuration reaches an instance, and why a frame was not received

Gauges of the age of the configuration, histograms of wait and decoding, and bytes by message type. No decision is changed.

--- a/packages/decision/include/camphorknot/steering/record_requests.hpp
+++ b/packages/decision/include/camphorknot/steering/record_requests.hpp
@@ -20,9 +20,14 @@
     /// Since when the copies of instances with faster links are older than those of others; zero if they are
     /// not.
     time_point faster_behind_since{};
-    std::string orders_source{}; ///< Name of the instance that was asked last for the orders.
+    std::string orders_source{};       ///< Name of the instance that was asked last for the orders.
+    time_point orders_requested_at{};  ///< When it was asked; zero if none was.
+    unsigned orders_request_count = 0; ///< Requests for the orders since the own copy is older.
 };
 
+/// Time for which a newer copy of the orders has been known; zero if the own one is the newest.
+duration orders_behind_for(const record_requests& pending, time_point now);
+
 /// A live instance of the own failure domain as a source of the orders.
 struct record_source {
     std::uint32_t link_mbps = 0;
--- a/packages/decision/src/steering/record_requests.cpp
+++ b/packages/decision/src/steering/record_requests.cpp
@@ -80,6 +80,11 @@
                                                                  std::chrono::duration<double>(seconds)));
 }
 
+duration orders_behind_for(const record_requests& pending, time_point now)
+{
+    return pending.own_behind_since == time_point{} ? duration{} : now - pending.own_behind_since;
+}
+
 void on_orders_announced(record_requests& pending, const record_source& own, const record_source& peer,
                          std::span<const record_source> others, time_point now)
 {
@@ -88,6 +93,9 @@
     };
     pending.announced_orders = std::max(pending.announced_orders, peer.orders.version);
     update_since(pending.own_behind_since, pending.announced_orders > own.orders.version);
+    if (pending.own_behind_since == time_point{}) {
+        pending.orders_request_count = 0;
+    }
     if (peer.orders.version >= pending.announced_orders) {
         update_since(pending.faster_behind_since, std::ranges::any_of(others, [&](const auto& other) {
                          return other.link_mbps > peer.link_mbps &&
@@ -129,6 +137,10 @@
         if (message.at(index).as_of_s != not_requested) {
             pending.retry_at.at(index) =
                 now + expected_answer_time(replica, static_cast<collection>(index), link_mbps);
+            if (static_cast<collection>(index) == collection::orders) {
+                pending.orders_requested_at = now;
+                ++pending.orders_request_count;
+            }
         }
     }
 }
--- a/packages/edge/src/control.cpp
+++ b/packages/edge/src/control.cpp
@@ -28,6 +28,7 @@
     steering::update_peak_rate(state.fleet.request_rates[state.settings.identity.failure_domain],
                                steering::own_domain_requests_per_s(state.fleet, state.report.load, now), now);
     send_peer_updates(state, false, now);
+    show_configuration_age(state, now);
     publish_view(state, now);
 }
 
--- a/packages/edge/src/control.hpp
+++ b/packages/edge/src/control.hpp
@@ -42,6 +42,14 @@
     std::set<std::string> assigned_targets;
 };
 
+/// How an update of records arrived, for logs and metrics.
+struct record_delivery {
+    std::string_view source; ///< "store" or "peer".
+    std::string_view peer;   ///< Remote address; empty for the store.
+    std::size_t bytes = 0;   ///< Of the message; 0 for the store.
+    duration receive_time{}; ///< From its first to its last byte; zero for the store.
+};
+
 /// State of the control thread. All functions run in that thread, except start_control, join_control and
 /// post_*.
 struct control_state {
@@ -97,7 +105,8 @@
     std::uint64_t status_sequence = 0;
     std::uint64_t tick_count = 0;
     time_point started_at{};
-    steering::record_requests pending_requests;                            ///< To peers.
+    steering::record_requests pending_requests; ///< To peers.
+    time_point configuration_wait_logged_at{};
     std::map<std::string, steering::instance_contact> own_domain_contacts; ///< By peer address.
     std::vector<steering::instance_contact> registered_instances;          ///< From the store and from peers.
     std::unique_ptr<usage_control> usage;                                  ///< Null if usage is not reported.
@@ -135,10 +144,11 @@
 /// Reads records from the store while that is this instance's task, for as long as the context runs.
 boost::asio::awaitable<void> follow_records(control_state& state);
 /// Applies records from the store or from a peer.
-/// @param source "store" or "peer", for the metrics.
 /// @return the number of changed records.
 std::size_t apply_record_update(control_state& state, const steering::record_update& update,
-                                std::string_view source);
+                                const record_delivery& delivery);
+/// Sets the gauges of how old this instance's configuration may be.
+void show_configuration_age(control_state& state, time_point now);
 /// @return whether the records are unconfirmed for so long that this instance must read the store itself.
 bool records_are_stale(const control_state& state, time_point now);
 /// Removes the pending targets whose grace period has ended.
--- a/packages/edge/src/control_fleet.cpp
+++ b/packages/edge/src/control_fleet.cpp
@@ -23,6 +23,7 @@
 constexpr std::uint64_t contact_exchange_ticks = 10;
 // A newer configuration that has been known for longer without arriving is logged.
 constexpr duration configuration_wait_log_delay = std::chrono::milliseconds(1500);
+constexpr duration configuration_wait_log_period = std::chrono::seconds(1);
 // Period in ticks of the messages with all suspects, so that an instance that starts or was cut off learns
 // them; a multiple of the periods of the summaries.
 constexpr std::uint64_t crash_exchange_ticks = 12;
@@ -33,6 +34,23 @@
 // Summaries to other regions leave out the requests in flight if these are at more targets than this.
 constexpr std::size_t max_cross_region_in_flight = 512;
 
+// Logs a request for orders of which the peer has a newer version.
+void log_configuration_request(control_state& state, const steering::instance_contact& peer,
+                               const steering::record_positions& positions,
+                               const steering::requested_positions& message)
+{
+    constexpr auto orders = static_cast<std::size_t>(steering::collection::orders);
+    const std::uint64_t own_version = state.replica.collections.at(orders).position.version;
+    if (message.at(orders).version != own_version || positions.at(orders).version <= own_version) {
+        return;
+    }
+    log_event_limited(state.log, log_severity::info, "configuration_requested",
+                      {{"from", peer.name},
+                       {"record_version", std::to_string(positions.at(orders).version)},
+                       {"own_record_version", std::to_string(own_version)},
+                       {"request", std::to_string(state.pending_requests.orders_request_count)}});
+}
+
 // Requests the collections of which the peer has newer copies.
 void request_records(control_state& state, const steering::instance_contact& peer,
                      const steering::record_positions& positions, bool is_orders_source)
@@ -42,6 +60,7 @@
          steering::select_requests(state.replica, state.pending_requests, positions, is_orders_source, now)) {
         if (send_to(*state.peers, peer.peer_address, encode_frame(records_request{message}))) {
             steering::on_requested(state.pending_requests, state.replica, message, peer.link_mbps, now);
+            log_configuration_request(state, peer, positions, message);
             if (is_orders_source) {
                 state.pending_requests.orders_source = peer.name;
             }
@@ -73,13 +92,18 @@
     const auto time_since = [now](time_point since) {
         return since == time_point{} ? duration{} : now - since;
     };
-    const duration own_behind_for = time_since(pending.own_behind_since);
-    if (own_behind_for > configuration_wait_log_delay) {
+    const duration own_behind_for = steering::orders_behind_for(pending, now);
+    if (own_behind_for > configuration_wait_log_delay &&
+        now - state.configuration_wait_logged_at >= configuration_wait_log_period) {
+        state.configuration_wait_logged_at = now;
+        const auto to_ms = [](duration time) { return std::to_string(time / std::chrono::milliseconds(1)); };
         log_event_limited(state.log, log_severity::warning, "configuration_awaited",
                           {{"record_version", std::to_string(pending.announced_orders)},
                            {"own_record_version", std::to_string(own.orders.version)},
                            {"asked", pending.orders_source},
-                           {"for_ms", std::to_string(own_behind_for / std::chrono::milliseconds(1))}});
+                           {"asked_ms_ago", to_ms(time_since(pending.orders_requested_at))},
+                           {"requests", std::to_string(pending.orders_request_count)},
+                           {"for_ms", to_ms(own_behind_for)}});
     }
     return steering::is_best_source(source, others, own, time_since(pending.faster_behind_since));
 }
@@ -176,7 +200,8 @@
                               });
 }
 
-std::optional<peer_message> handle_message(control_state& state, peer_message&& message)
+std::optional<peer_message> handle_message(control_state& state, peer_message&& message,
+                                           const frame_arrival& arrival)
 {
     if (auto* status = std::get_if<steering::instance_status>(&message)) {
         return handle_status(state, std::move(*status));
@@ -186,9 +211,10 @@
     }
     if (auto* answer = std::get_if<records_answer>(&message)) {
         steering::on_answered(state.pending_requests, answer->updates);
+        const record_delivery delivery = {"peer", arrival.peer, arrival.bytes, arrival.receive_time};
         std::size_t changed = 0;
         for (const steering::record_update& update : answer->updates) {
-            changed += apply_record_update(state, update, "peer");
+            changed += apply_record_update(state, update, delivery);
         }
         publish_view(state, boot_now());
         if (changed > 0 && steering::is_domain_delegate(state.fleet, boot_now())) {
@@ -374,11 +400,13 @@
 boost::system::error_code start_peer_network(control_state& state)
 {
     peer_handlers handlers;
-    handlers.on_message = [&state](peer_message&& message) {
-        return handle_message(state, std::move(message));
+    handlers.on_message = [&state](peer_message&& message, const frame_arrival& arrival) {
+        return handle_message(state, std::move(message), arrival);
     };
-    handlers.on_link_change = [&state](std::string_view event, std::string_view address) {
-        log_event_limited(state.log, log_severity::info, event, {{"address", std::string(address)}});
+    handlers.on_link_change = [&state](std::string_view event, std::string_view address,
+                                       std::string_view reason) {
+        log_event_limited(state.log, log_severity::info, event,
+                          {{"address", std::string(address)}, {"reason", std::string(reason)}});
     };
     const steering::connection_limits limits =
         find_connection_limits(state.settings.descriptors, state.settings.memory_mb);
--- a/packages/edge/src/control_records.cpp
+++ b/packages/edge/src/control_records.cpp
@@ -63,24 +63,47 @@
                        {"field", error.field}});
 }
 
-void apply_configuration(control_state& state, steering::configuration incoming)
+std::string to_milliseconds(duration time)
+{
+    return std::to_string(time / std::chrono::milliseconds(1));
+}
+
+// Logs how the configuration that has just been applied reached this instance.
+void report_configuration(control_state& state, const record_delivery& delivery, duration decode_time)
+{
+    const steering::record_requests& pending = state.pending_requests;
+    const duration wait = steering::orders_behind_for(pending, boot_now());
+    observe(latency(state.metric_registry, "camphorknot_configuration_wait_seconds", ""), wait);
+    observe(latency(state.metric_registry, "camphorknot_configuration_decode_seconds", ""), decode_time);
+    log_event(log_severity::info, "configuration_applied",
+              {{"version", std::to_string(state.configuration->version)},
+               {"routes", std::to_string(state.configuration->routes.size())},
+               {"customers", std::to_string(state.configuration->customers.size())},
+               {"source", std::string(delivery.source)},
+               {"peer", std::string(delivery.peer)},
+               {"message_bytes", std::to_string(delivery.bytes)},
+               {"waited_ms", to_milliseconds(wait)},
+               {"requests", std::to_string(pending.orders_request_count)},
+               {"receive_ms", to_milliseconds(delivery.receive_time)},
+               {"decode_ms", to_milliseconds(decode_time)}});
+}
+
+// Returns whether the configuration is newer than the present one and was applied.
+bool apply_configuration(control_state& state, steering::configuration incoming)
 {
     if (state.configuration != nullptr && incoming.version <= state.configuration->version) {
         log_event(log_severity::warning, "configuration_not_newer",
                   {{"known", std::to_string(state.configuration->version)},
                    {"offered", std::to_string(incoming.version)}});
-        return;
+        return false;
     }
     state.configuration = std::make_shared<const steering::configuration>(std::move(incoming));
     state.routes = steering::make_route_table(state.configuration);
-    log_event(log_severity::info, "configuration_applied",
-              {{"version", std::to_string(state.configuration->version)},
-               {"routes", std::to_string(state.configuration->routes.size())},
-               {"customers", std::to_string(state.configuration->customers.size())}});
     for (const std::string& kind : state.configuration->unknown_request_kinds) {
         log_event(log_severity::warning, "request_kind_unknown",
                   {{"kind", kind}, {"treated_as", "at_most_once"}});
     }
+    return true;
 }
 
 void apply_evacuation(control_state& state, const std::string& domain, bool removed)
@@ -92,15 +115,18 @@
     }
 }
 
-void apply_order(control_state& state, const steering::record& record)
+void apply_order(control_state& state, const steering::record& record, const record_delivery& delivery)
 {
+    const time_point begun = boot_now();
     auto decoded = record.removed ? platform::decode_removed_order(record) : platform::decode_order(record);
     if (!decoded) {
         log_malformed_record(state, record, decoded.reason);
         return;
     }
     if (auto* configuration = std::get_if<steering::configuration>(&*decoded)) {
-        apply_configuration(state, std::move(*configuration));
+        if (apply_configuration(state, std::move(*configuration))) {
+            report_configuration(state, delivery, boot_now() - begun);
+        }
     } else if (const auto* evacuation = std::get_if<platform::evacuation_order>(&*decoded)) {
         apply_evacuation(state, evacuation->failure_domain, record.removed);
     } else {
@@ -274,7 +300,7 @@
         state.snapshot_due = false;
     }
     remove_plain_heartbeats(state, *update);
-    co_return apply_record_update(state, *update, "store");
+    co_return apply_record_update(state, *update, {"store", {}, 0, {}});
 }
 
 } // namespace
@@ -295,7 +321,7 @@
 }
 
 std::size_t apply_record_update(control_state& state, const steering::record_update& update,
-                                std::string_view source)
+                                const record_delivery& delivery)
 {
     const time_point now = boot_now();
     on_era_seen(state, steering::era_of(update.position.version), now);
@@ -306,7 +332,7 @@
     for (const steering::record& record : changed) {
         switch (group) {
         case steering::collection::orders:
-            apply_order(state, record);
+            apply_order(state, record, delivery);
             break;
         case steering::collection::targets:
             apply_target(state, record, now);
@@ -317,13 +343,28 @@
         }
     }
     if (!changed.empty()) {
-        const std::string labels = "source=\"" + std::string(source) + "\"";
+        const std::string labels = "source=\"" + std::string(delivery.source) + "\"";
         counter(state.metric_registry, "camphorknot_record_changes_total", labels)
             .fetch_add(changed.size(), std::memory_order_relaxed);
     }
     return changed.size();
 }
 
+void show_configuration_age(control_state& state, time_point now)
+{
+    const auto set = [&](const char* name, duration age) {
+        gauge(state.metric_registry, name, "")
+            .store(age / std::chrono::milliseconds(1), std::memory_order_relaxed);
+    };
+    const freshness& orders = freshness_of(state, steering::collection::orders);
+    const bool is_behind = state.pending_requests.announced_orders >
+                           steering::records_of(state.replica, steering::collection::orders).position.version;
+    set("camphorknot_configuration_behind_ms",
+        is_behind ? steering::orders_behind_for(state.pending_requests, now) : duration{});
+    set("camphorknot_configuration_confirmed_age_ms",
+        now - (orders.as_of_s < 0 ? state.started_at : orders.advanced_at));
+}
+
 void finish_target_removals(control_state& state, time_point now)
 {
     for (auto pending = state.pending_target_removals.begin();
--- a/packages/edge/src/control_rollouts.cpp
+++ b/packages/edge/src/control_rollouts.cpp
@@ -352,7 +352,7 @@
         auto update = co_await platform::read_collection(
             state.write_client, steering::collection::rollout_states, {}, duration{}, status);
         if (update) {
-            apply_record_update(state, *update, "store");
+            apply_record_update(state, *update, {"store", {}, 0, {}});
         }
     }
 }
--- a/packages/edge/src/peer_codec.cpp
+++ b/packages/edge/src/peer_codec.cpp
@@ -1,5 +1,6 @@
 #include "peer_codec.hpp"
 
+#include <algorithm>
 #include <msgpack.hpp>
 
 namespace camphorknot::steering {
@@ -360,7 +361,7 @@
             return fail<peer_message>(codec_fault::malformed);
         }
         const auto type = outer.via.array.ptr[0].as<std::uint8_t>();
-        if (type > static_cast<std::uint8_t>(message_type::token_answer)) {
+        if (type >= message_type_count) {
             return fail<peer_message>(codec_fault::unknown_type);
         }
         return succeed<codec_fault>(decode_body(static_cast<message_type>(type), outer.via.array.ptr[1]));
@@ -369,6 +370,19 @@
     }
 }
 
+std::size_t message_type_of(std::string_view content)
+{
+    constexpr unsigned char first_short_array = 0x90; // msgpack's array of up to 15 elements.
+    constexpr unsigned char last_short_array = 0x9f;
+    if (content.size() < 2) {
+        return message_type_count;
+    }
+    const auto outer = static_cast<unsigned char>(content[0]);
+    const auto type = static_cast<unsigned char>(content[1]);
+    const bool is_message = outer >= first_short_array && outer <= last_short_array;
+    return is_message ? std::min<std::size_t>(type, message_type_count) : message_type_count;
+}
+
 std::uint32_t decode_content_length(std::string_view header)
 {
     std::uint32_t length = 0;
--- a/packages/edge/src/peer_codec.hpp
+++ b/packages/edge/src/peer_codec.hpp
@@ -1,6 +1,7 @@
 // Messages between instances and their encoding as msgpack.
 #pragma once
 
+#include <array>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -51,6 +52,18 @@
 /// @param content of a frame, without its header.
 result<peer_message, codec_fault> decode_frame(std::string_view content);
 
+/// Number of message types.
+inline constexpr std::size_t message_type_count = 7;
+/// Names of the message types in metrics and logs, by their number on the wire.
+inline constexpr std::array<std::string_view, message_type_count> message_names = {
+    "status",        "records_request", "records_answer", "summary", "contact_announcement",
+    "token_request", "token_answer"};
+
+/// @param content beginning of a frame's content; two bytes are enough.
+/// @return the number of the message type; message_type_count if the content is too short or the type is
+/// unknown.
+std::size_t message_type_of(std::string_view content);
+
 /// Size of the length field before the content.
 inline constexpr std::size_t frame_header_bytes = 4;
 /// Maximum size of the content in bytes; the records of 2,400 targets need less than 1 MB.
--- a/packages/edge/src/peer_network.cpp
+++ b/packages/edge/src/peer_network.cpp
@@ -36,6 +36,8 @@
     tcp::socket socket;
     std::deque<std::shared_ptr<const std::string>> queue;
     bool writing = false;
+    std::string peer;                  // Remote address.
+    boost::system::error_code failure; // The first error that ended it.
     counted_connection_handle counted; // Null on links that this instance opened.
 };
 using peer_connection_handle = std::shared_ptr<peer_connection>;
@@ -63,6 +65,26 @@
     return tcp::endpoint(ip, static_cast<std::uint16_t>(port));
 }
 
+std::string remote_address(const tcp::socket& socket)
+{
+    boost::system::error_code error;
+    const tcp::endpoint remote = socket.remote_endpoint(error);
+    return error ? std::string() : remote.address().to_string() + ":" + std::to_string(remote.port());
+}
+
+// Registers a counter of bytes for each message type.
+frame_byte_counters count_by_message(metrics& registry, std::string_view direction)
+{
+    frame_byte_counters counters{};
+    for (std::size_t type = 0; type < counters.size(); ++type) {
+        const std::string_view name = type < message_type_count ? message_names.at(type) : "unknown";
+        counters.at(type) =
+            &counter(registry, "camphorknot_peer_bytes_total",
+                     "direction=\"" + std::string(direction) + "\",message=\"" + std::string(name) + "\"");
+    }
+    return counters;
+}
+
 } // namespace
 
 struct peer_network : std::enable_shared_from_this<peer_network> {
@@ -92,6 +114,20 @@
             }};
 }
 
+void count_bytes(const frame_byte_counters& counters, std::string_view content, std::size_t bytes)
+{
+    if (auto* const bytes_total = counters.at(message_type_of(content))) {
+        bytes_total->fetch_add(bytes, std::memory_order_relaxed);
+    }
+}
+
+void set_failure(const peer_connection_handle& connection, boost::system::error_code error)
+{
+    if (!connection->failure) {
+        connection->failure = error;
+    }
+}
+
 void write_next(const peer_connection_handle& connection)
 {
     connection->writing = !connection->queue.empty();
@@ -103,6 +139,7 @@
                       [connection, frame](boost::system::error_code error, std::size_t) {
                           connection->queue.pop_front();
                           if (error) {
+                              set_failure(connection, error);
                               boost::system::error_code ignored; // read_frames reports the end of the link.
                               connection->socket.close(ignored);
                               return;
@@ -118,6 +155,7 @@
         intake.queued_bytes + frame->size() > intake.max_queued_bytes) {
         return false;
     }
+    count_bytes(intake.sent_bytes, std::string_view(*frame).substr(frame_header_bytes), frame->size());
     connection->queue.push_back(count_queued(intake, std::move(frame)));
     if (!connection->writing) {
         write_next(connection);
@@ -125,9 +163,10 @@
     return true;
 }
 
-void handle_message(peer_network& network, const peer_connection_handle& connection, peer_message&& message)
+void handle_message(peer_network& network, const peer_connection_handle& connection, peer_message&& message,
+                    const frame_arrival& arrival)
 {
-    const std::optional<peer_message> reply = network.handlers.on_message(std::move(message));
+    const std::optional<peer_message> reply = network.handlers.on_message(std::move(message), arrival);
     if (reply) {
         enqueue(network.intake, connection, std::make_shared<const std::string>(encode_frame(*reply)));
     }
@@ -149,9 +188,12 @@
     return reserve(*hold, bytes);
 }
 
+// Result of reading the content of a frame.
+enum class read_end : std::uint8_t { complete, no_room, link_closed };
+
 // Reads the content of a frame piece by piece, so that only what has come takes memory.
-asio::awaitable<bool> read_content(network_handle network, peer_connection_handle connection,
-                                   std::size_t length, std::shared_ptr<std::string> content)
+asio::awaitable<read_end> read_content(network_handle network, peer_connection_handle connection,
+                                       std::size_t length, std::shared_ptr<std::string> content)
 {
     message_hold_handle hold;
     content->clear();
@@ -160,20 +202,23 @@
         const std::size_t piece = std::min(length - received, std::max(small_frame_bytes, received));
         // A string that grows is copied.
         if (!has_room(*network, connection, hold, received == 0 ? piece : 2 * received + piece)) {
-            co_return false;
+            co_return read_end::no_room;
         }
         content->resize(received + piece);
         boost::system::error_code error;
-        co_await asio::async_read(connection->socket, asio::buffer(*content) + received,
-                                  asio::redirect_error(asio::use_awaitable, error));
+        const std::size_t count =
+            co_await asio::async_read(connection->socket, asio::buffer(*content) + received,
+                                      asio::redirect_error(asio::use_awaitable, error));
         if (error) {
-            co_return false;
+            set_failure(connection, error);
+            content->resize(received + count);
+            co_return read_end::link_closed;
         }
         if (hold != nullptr) {
             record_progress(*hold, content->size());
         }
     }
-    co_return true;
+    co_return read_end::complete;
 }
 
 void set_phase(const peer_connection_handle& connection, steering::connection_phase phase)
@@ -183,11 +228,26 @@
     }
 }
 
-void refuse_frame(peer_network& network, std::size_t length, std::string_view reason)
+std::string to_milliseconds(duration time)
+{
+    return std::to_string(time / std::chrono::milliseconds(1));
+}
+
+// Logs a frame of which the content was received in part or was not valid.
+void refuse_frame(peer_network& network, const peer_connection& connection, std::string_view content,
+                  std::size_t length, std::string_view reason, duration receive_time)
 {
     network.intake.refused_frames->fetch_add(1, std::memory_order_relaxed);
-    log_event_limited(network.intake.links.log, log_severity::warning, "frame_refused",
-                      {{"bytes", std::to_string(length)}, {"reason", std::string(reason)}});
+    const std::size_t type = message_type_of(content);
+    log_event_limited(
+        network.intake.links.log, log_severity::warning, "frame_refused",
+        {{"bytes", std::to_string(length)},
+         {"received", std::to_string(content.size())},
+         {"message", type < message_type_count ? std::string(message_names.at(type)) : "unknown"},
+         {"peer", connection.peer},
+         {"reason", std::string(reason)},
+         {"error", connection.failure ? connection.failure.message() : std::string()},
+         {"after_ms", to_milliseconds(receive_time)}});
 }
 
 // Returns whether a further frame may follow.
@@ -199,29 +259,34 @@
     co_await asio::async_read(connection->socket, asio::buffer(*content),
                               asio::redirect_error(asio::use_awaitable, error));
     if (error) {
+        set_failure(connection, error);
         co_return false;
     }
+    const time_point begun = boot_now();
     const std::uint32_t length = decode_content_length(*content);
     if (length > max_frame_bytes) {
-        refuse_frame(*network, length, "too_large");
+        refuse_frame(*network, *connection, {}, length, "too_large", {});
         co_return false;
     }
     set_phase(connection, steering::connection_phase::reading);
-    const bool is_read = co_await read_content(network, connection, length, content);
-    if (!is_read) {
-        refuse_frame(*network, length, "not_received");
+    const read_end end = co_await read_content(network, connection, length, content);
+    const duration receive_time = boot_now() - begun;
+    count_bytes(network->intake.received_bytes, *content, frame_header_bytes + content->size());
+    if (end != read_end::complete) {
+        refuse_frame(*network, *connection, *content, length,
+                     end == read_end::no_room ? "no_room" : "link_closed", receive_time);
         co_return false;
     }
     auto message = decode_frame(*content);
-    if (content->capacity() > small_frame_bytes) {
-        std::string().swap(*content);
-    }
     if (!message) {
-        refuse_frame(*network, length, "malformed");
+        refuse_frame(*network, *connection, *content, length, "malformed", receive_time);
         co_return false;
     }
+    if (content->capacity() > small_frame_bytes) {
+        std::string().swap(*content);
+    }
     set_phase(connection, steering::connection_phase::busy);
-    handle_message(*network, connection, std::move(*message));
+    handle_message(*network, connection, std::move(*message), {connection->peer, length, receive_time});
     set_phase(connection, steering::connection_phase::idle);
     co_return true;
 }
@@ -241,6 +306,7 @@
 {
     set_tcp_options(socket, unacknowledged_limit);
     auto accepted = std::make_shared<peer_connection>(std::move(socket));
+    accepted->peer = remote_address(accepted->socket);
     accepted->counted = admit_connection(network->intake.links, [weak = std::weak_ptr(accepted)] {
         if (const auto open = weak.lock()) {
             boost::system::error_code ignored; // A failure to close needs no handling.
@@ -270,6 +336,7 @@
         co_return nullptr;
     }
     set_tcp_options(opened->socket, unacknowledged_limit);
+    opened->peer = remote_address(opened->socket);
     co_return opened;
 }
 
@@ -282,10 +349,13 @@
         if (opened != nullptr) {
             delay = min_reconnect_delay;
             entry->connection = opened;
-            network->handlers.on_link_change("peer_link_up", entry->address);
+            network->handlers.on_link_change("peer_link_up", entry->address, "");
             co_await read_frames(network, opened);
             entry->connection.reset();
-            network->handlers.on_link_change("peer_link_down", entry->address);
+            const std::string reason = !entry->wanted    ? "not_wanted"
+                                       : opened->failure ? opened->failure.message()
+                                                         : "closed";
+            network->handlers.on_link_change("peer_link_down", entry->address, reason);
         }
         boost::system::error_code ignored; // A cancelled wait only ends earlier.
         entry->reconnect_timer->expires_after(delay);
@@ -300,6 +370,8 @@
 {
     open_limits(intake.links, "peers", max_links, registry);
     intake.refused_frames = &counter(registry, "camphorknot_refused_frames_total", "");
+    intake.sent_bytes = count_by_message(registry, "sent");
+    intake.received_bytes = count_by_message(registry, "received");
     if (memory_mb > 0) {
         const auto part = static_cast<std::size_t>(memory_mb * 1024 * 1024 * frame_memory_fraction);
         intake.max_queued_bytes = std::max(part, std::size_t{max_frame_bytes});
--- a/packages/edge/src/peer_network.hpp
+++ b/packages/edge/src/peer_network.hpp
@@ -15,14 +15,26 @@
 
 namespace camphorknot::edge {
 
+/// How a frame arrived.
+struct frame_arrival {
+    std::string_view peer;   ///< Remote address of its connection.
+    std::size_t bytes = 0;   ///< Of the content.
+    duration receive_time{}; ///< From the header to the last byte.
+};
+
 /// Callbacks; they run in the thread of the network's io_context.
 struct peer_handlers {
     /// Handles a message. @return the reply to send over the same connection, if any.
-    std::function<std::optional<peer_message>(peer_message&&)> on_message;
+    std::function<std::optional<peer_message>(peer_message&&, const frame_arrival&)> on_message;
     /// Reports that a link was opened or closed; @p event is the name of the log event.
-    std::function<void(std::string_view event, std::string_view address)> on_link_change;
+    /// @param reason what closed the link; empty if it was opened.
+    std::function<void(std::string_view event, std::string_view address, std::string_view reason)>
+        on_link_change;
 };
 
+/// Bytes of frames by message type; the last one counts unknown types. Null until the metrics are registered.
+using frame_byte_counters = std::array<std::atomic<std::uint64_t>*, message_type_count + 1>;
+
 /// What the links take of this instance. Outlives the io_context of its network.
 struct peer_intake {
     limited_port links; ///< Those that other instances open.
@@ -31,7 +43,9 @@
     std::size_t max_queued_bytes =
         std::size_t{16} * 1024 * 1024; ///< Frames that wait to be sent, on all links.
     std::size_t queued_bytes = 0;
-    std::atomic<std::uint64_t>* refused_frames = nullptr; ///< Without room, or not valid.
+    std::atomic<std::uint64_t>* refused_frames = nullptr; ///< Not received, without room, or not valid.
+    frame_byte_counters sent_bytes{};                     ///< Of frames that were queued.
+    frame_byte_counters received_bytes{};
 };
 
 /// Sets the limits and registers the metrics.
--- a/packages/edge/tests/edge_codec_test.cpp
+++ b/packages/edge/tests/edge_codec_test.cpp
@@ -55,6 +55,15 @@
     CHECK(std::get<token_answer>(*answer).wait == 250ms);
 }
 
+TEST_CASE("peer codec: the type of a message is read from its first bytes")
+{
+    CHECK(message_names.at(message_type_of(content_of(encode_frame(records_answer{})))) == "records_answer");
+    CHECK(message_names.at(message_type_of(content_of(encode_frame(token_request{})))) == "token_request");
+    CHECK(message_type_of("") == message_type_count);
+    CHECK(message_type_of("\x92\x7f") == message_type_count);
+    CHECK(message_type_of("GET / HTTP/1.1") == message_type_count);
+}
+
 TEST_CASE("peer codec: malformed content is rejected without a crash")
 {
     const std::string content =
@@ -79,6 +88,15 @@
     CHECK(read->bounds.rate_slack == 20);
 }
 
+TEST_CASE("edge settings: other instances get the advertised address of the peers' port")
+{
+    const auto read =
+        parse_edge_settings(std::string(settings_text) + "advertise: { peers: \"127.0.0.9:44\" }\n");
+    REQUIRE(read);
+    CHECK(read->identity.peer_address == "127.0.0.9:44");
+    CHECK(read->peers.port == 4);
+}
+
 TEST_CASE("edge settings: the memory of the machine is optional, and a bad value names the field")
 {
     const auto read_memory = [](const std::string& value) {
@@ -137,6 +155,11 @@
     const auto bad_gateway = parse_edge_settings(std::string(settings_text) + "egress_ip: gateway\n");
     REQUIRE_FALSE(bad_gateway);
     CHECK(bad_gateway.reason.field == "egress_ip");
+    const auto bad_advertised =
+        parse_edge_settings(std::string(settings_text) + "advertise: { peers: here }\n");
+    REQUIRE_FALSE(bad_advertised);
+    CHECK(bad_advertised.reason.field == "peers");
+    CHECK_FALSE(parse_edge_settings(std::string(settings_text) + "advertise: here\n"));
     CHECK(parse_edge_settings("[1, 2").reason.fault == settings_fault::not_yaml);
     CHECK(parse_edge_settings("a: 1").reason.fault == settings_fault::missing);
     std::string bad_bound = settings_text;
