Settings: advertise.peers, for a relay before the peers' port

An instance could be reached by others only at the address at which it listens, so that no relay or address translation could stand before it.

--- a/packages/edge/src/settings.cpp
+++ b/packages/edge/src/settings.cpp
@@ -218,6 +218,9 @@
     }
     settings.identity.front_address = to_text(settings.front);
     settings.identity.peer_address = to_text(settings.peers);
+    if (root["advertise"] && !root["advertise"].IsNull()) {
+        settings.identity.peer_address = to_text(required_address(root["advertise"], "peers"));
+    }
     settings.store = required_address(required_child(root, "store"), "address");
     settings.egress_ip = optional_ip(root, "egress_ip");
     for (const auto& domain : required_child(root, "failure_domains")) {
