--- a/tools/fleet_load/fleet.cpp
+++ b/tools/fleet_load/fleet.cpp
@@ -55,6 +55,27 @@
     return list;
 }
 
+std::size_t domain_count(const fleet_state& fleet)
+{
+    return regions.size() * fleet.shape.domains_per_region;
+}
+
+std::string domain_region(std::size_t domain)
+{
+    return regions.at(domain % regions.size());
+}
+
+std::string domain_name(std::size_t domain)
+{
+    return domain_region(domain) + "-" + static_cast<char>('a' + static_cast<int>(domain / regions.size()));
+}
+
+std::string instance_ip(const fleet_state& fleet, std::size_t index)
+{
+    constexpr std::size_t first_host = 10;
+    return fleet.network + "." + std::to_string(first_host + index);
+}
+
 // As the platform renders deploy/settings.yaml.template; fields without a value are empty.
 void write_settings(const fleet_state& fleet, const instance_process& instance)
 {
@@ -63,24 +84,32 @@
     const auto listener = [&](const char* name, int port) {
         file << "  " << name << ": \"" << instance.ip << ":" << port << "\"\n";
     };
+    const machine_profile& machine = profile_of(fleet, instance);
     file << "instance:\n  name: \"" << instance.name << "\"\n  ip: \"" << instance.ip
-         << "\"\n  failure_domain: \"" << instance.region << "-a\"\n  region: \"" << instance.region
-         << "\"\n  link_mbps: 20\n  cpu_share: 0.1\n  cpu_speed: 1\n  memory_mb: 160\n  descriptors: 4100\n"
+         << "\"\n  failure_domain: \"" << instance.failure_domain << "\"\n  region: \"" << instance.region
+         << "\"\n  link_mbps: " << machine.link_mbps << "\n  cpu_share: " << machine.processor_share
+         << "\n  cpu_speed: 1\n  memory_mb: " << machine.memory_mb << "\n  descriptors: 4100\n"
          << "listen:\n";
     listener("front", front_port);
     listener("readiness", 7301);
     listener("directory", directory_port);
-    listener("peers", 7303);
+    listener("peers", fleet.shape.limits_links ? relayed_peers_port : peers_port);
     listener("metrics", 7304);
     listener("relay", 7305);
+    if (fleet.shape.limits_links) {
+        file << "advertise:\n";
+        listener("peers", peers_port);
+    }
     file << "store:\n  address: \"" << fleet.network << ".1:" << fleet.store->port << "\"\n"
          << "failure_domains:\n";
-    for (const char* region : regions) {
-        file << "  \"" << region << "-a\": \"" << region << "\"\n";
+    for (std::size_t index = 0; index < domain_count(fleet); ++index) {
+        file << "  \"" << domain_name(index) << "\": \"" << domain_region(index) << "\"\n";
+    }
+    json seeds = json::array();
+    for (std::size_t index = 0; index < regions.size(); ++index) {
+        seeds.push_back(instance_ip(fleet, index) + ":" + std::to_string(peers_port));
     }
-    file << "seeds: "
-         << json({fleet.network + ".101:7303", fleet.network + ".102:7303", fleet.network + ".103:7303"})
-         << "\nbounds: " << (fleet.bounds_as_list ? as_list(bounds) : bounds) << "\n"
+    file << "seeds: " << seeds << "\nbounds: " << (fleet.bounds_as_list ? as_list(bounds) : bounds) << "\n"
          << "rollouts:\n  limits:\n    - \"exposure_share=0.1\"\n    - \"exposure_slack=50\"\n"
          << "usage:\n  address: \"\"\n  duties: \n  calls_per_s: \n  limits:\n    - \"lease_s=\"\n"
          << "    - \"thaw_slack_s=\"\n    - \"report_window_s=\"\n    - \"usage_late_s=\"\n";
@@ -98,19 +127,17 @@
         routes.push_back({"added-" + std::to_string(number), caller_host, prefix_of_added(number), first.kind,
                           first.name, first.deadline_s, first.deadline_s / 2});
     }
+    for (std::size_t number = 0; number < fleet.shape.bulk_routes; ++number) {
+        const std::string name = "bulk-" + std::to_string(number);
+        routes.push_back({name, "h" + std::to_string(number / 4) + ".example", "/" + name + "/", first.kind,
+                          first.name, first.deadline_s, first.deadline_s / 2});
+    }
     return routes;
 }
 
-} // namespace
-
-std::string prefix_of_added(int number)
-{
-    return "/added-" + std::to_string(number) + "/";
-}
-
-void write_configuration(fleet_state& fleet)
+// Returns the row under the next version.
+json next_configuration(fleet_state& fleet, std::span<const standins::configured_route> routes)
 {
-    const auto routes = routes_of(fleet);
     const std::array customers = {
         standins::configured_customer{"free", caller_key},
         standins::configured_customer{"other", "other-key", fleet.other_customer_rate, 1000}};
@@ -119,12 +146,47 @@
         if (resource["resource_kind"] == "services") {
             resource["spec"]["max_conns"] = fleet.connection_limit;
         }
+        if (resource["resource_kind"] == "tenants" && resource["metadata"]["name"] == "free") {
+            for (const std::string& key : fleet.added_keys) {
+                resource["spec"]["api_keys"].push_back(key);
+            }
+        }
     }
     ++fleet.configuration_version;
+    return row;
+}
+
+} // namespace
+
+std::string prefix_of_added(int number)
+{
+    return "/added-" + std::to_string(number) + "/";
+}
+
+void write_configuration(fleet_state& fleet)
+{
+    const json row = next_configuration(fleet, routes_of(fleet));
     fleet.configurations.push_back(clock::now());
     standins::put_configuration(*fleet.store, row.dump());
 }
 
+void write_malformed_configuration(fleet_state& fleet, const std::string& prefix)
+{
+    std::vector<standins::configured_route> routes = routes_of(fleet);
+    const service_profile& first = fleet.services.front();
+    routes.push_back({"malformed", caller_host, prefix, first.kind, first.name, 1, 1});
+    json row = next_configuration(fleet, routes);
+    row["resources"].push_back({{"resource_kind", "routes"},
+                                {"metadata", {{"name", "without-host"}}},
+                                {"spec", {{"prefix", "/without-host/"}, {"service", first.name}}}});
+    standins::put_configuration(*fleet.store, row.dump());
+}
+
+const machine_profile& profile_of(const fleet_state& fleet, const instance_process& instance)
+{
+    return instance.is_fast ? fleet.shape.fast : fleet.shape.slow;
+}
+
 void register_server(fleet_state& fleet, const load_server& server, const std::string& state)
 {
     json row = json::parse(standins::server_row(server.profile.name, server.address, server.failure_domain,
@@ -140,7 +202,7 @@
         std::make_unique<load_server>(fleet.context, fleet.runs, fleet.services.at(service),
                                       "i-" + std::to_string(number), fleet.network + ".3", seed));
     load_server& server = *fleet.servers.back();
-    server.failure_domain = std::string(regions.at(number / fleet.services.size() % regions.size())) + "-a";
+    server.failure_domain = domain_name(number / fleet.services.size() % domain_count(fleet));
     start(server);
     register_server(fleet, server, "ready");
 }
@@ -150,8 +212,10 @@
     for (std::size_t index = 0; index < count; ++index) {
         instance_process instance;
         instance.name = "edge-" + std::to_string(index + 1);
-        instance.ip = fleet.network + "." + std::to_string(101 + index);
+        instance.ip = instance_ip(fleet, index);
         instance.region = regions.at(index % regions.size());
+        instance.failure_domain = domain_name(index % domain_count(fleet));
+        instance.is_fast = index / domain_count(fleet) < fleet.shape.fast_machines_per_domain;
         instance.settings_path = fleet.directory + "/" + instance.name + ".yaml";
         instance.log_path = fleet.directory + "/" + instance.name + ".jsonl";
         write_settings(fleet, instance);
