Records: a large record is sent to other instances as what differs from the version they have

Callers got 404 for routes whose version had been acknowledged over four seconds before, and were served by dropped ones. Cause: each change of the configuration was sent whole to each instance, so that a storm of changes filled the links with copies of 415 kB; these broke off, and were asked for again. Class: a cost by the size of the state in place of that of the change.

A request now names the versions of the large records that the sender has, and the answer holds patches from one of these. Base and result are checked by checksums; a malformed patch leads to a request for the whole record. Versions are compared as before, so that nothing goes back. Builds before this one neither ask for patches nor get them.

--- a/packages/decision/include/camphorknot/steering.hpp
+++ b/packages/decision/include/camphorknot/steering.hpp
@@ -28,6 +28,7 @@
 #include "camphorknot/steering/target_notices.hpp"
 #include "camphorknot/steering/target_pool.hpp"
 #include "camphorknot/steering/target_reach.hpp"
+#include "camphorknot/steering/text_patch.hpp"
 #include "camphorknot/steering/usage_counts.hpp"
 #include "camphorknot/steering/usage_duty.hpp"
 #include "camphorknot/steering/version_history.hpp"
--- a/packages/decision/include/camphorknot/steering/record_requests.hpp
+++ b/packages/decision/include/camphorknot/steering/record_requests.hpp
@@ -23,6 +23,8 @@
     std::string orders_source{};       ///< Name of the instance that was asked last for the orders.
     time_point orders_requested_at{};  ///< When it was asked; zero if none was.
     unsigned orders_request_count = 0; ///< Requests for the orders since the own copy is older.
+    /// A patch could not be applied, so that the next request asks for whole records.
+    bool needs_whole_records = false;
 };
 
 /// Time for which a newer copy of the orders has been known; zero if the own one is the newest.
--- a/packages/edge/src/control_fleet.cpp
+++ b/packages/edge/src/control_fleet.cpp
@@ -56,9 +56,12 @@
                      const steering::record_positions& positions, bool is_orders_source)
 {
     const time_point now = boot_now();
+    const std::vector<steering::held_record> held = state.pending_requests.needs_whole_records
+                                                        ? std::vector<steering::held_record>()
+                                                        : steering::large_records(state.replica);
     for (const steering::requested_positions& message :
          steering::select_requests(state.replica, state.pending_requests, positions, is_orders_source, now)) {
-        if (send_to(*state.peers, peer.peer_address, encode_frame(records_request{message}))) {
+        if (send_to(*state.peers, peer.peer_address, encode_frame(records_request{message, held}))) {
             steering::on_requested(state.pending_requests, state.replica, message, peer.link_mbps, now);
             log_configuration_request(state, peer, positions, message);
             if (is_orders_source) {
@@ -85,9 +88,9 @@
     steering::instance_identity identity;
     identity.name = peer.name;
     identity.link_mbps = peer.link_mbps;
+    steering::record_requests& pending = state.pending_requests;
     const steering::record_source source = steering::source_of(identity, positions);
     const std::vector<steering::record_source> others = steering::live_sources(state.fleet, now);
-    steering::record_requests& pending = state.pending_requests;
     steering::on_orders_announced(pending, own, source, others, now);
     const auto time_since = [now](time_point since) {
         return since == time_point{} ? duration{} : now - since;
@@ -115,12 +118,30 @@
         const auto group = static_cast<steering::collection>(index);
         if (state.replica.collections.at(index).position.as_of_s > request.positions.at(index).as_of_s) {
             answer.updates.push_back(
-                steering::changes_since(state.replica, group, request.positions.at(index)));
+                steering::changes_since(state.replica, group, request.positions.at(index), request.held));
         }
     }
     return answer;
 }
 
+// Returns whether the update can be applied. After a malformed patch the whole records are requested next.
+bool resolve_patches(control_state& state, steering::record_update& update, const frame_arrival& arrival)
+{
+    const steering::patch_fault fault = steering::resolve_patches(state.replica, update);
+    if (update.group == steering::collection::orders) {
+        state.pending_requests.needs_whole_records = fault == steering::patch_fault::malformed;
+    }
+    if (fault != steering::patch_fault::none) {
+        counter(state.metric_registry, "camphorknot_refused_patches_total", "")
+            .fetch_add(1, std::memory_order_relaxed);
+        log_event_limited(state.log, log_severity::warning, "record_patch_refused",
+                          {{"reason", std::string(steering::name_of(fault))},
+                           {"peer", std::string(arrival.peer)},
+                           {"record_version", std::to_string(update.position.version)}});
+    }
+    return fault == steering::patch_fault::none;
+}
+
 std::optional<peer_message> handle_status(control_state& state, steering::instance_status status)
 {
     const time_point now = boot_now();
@@ -213,8 +234,10 @@
         steering::on_answered(state.pending_requests, answer->updates);
         const record_delivery delivery = {"peer", arrival.peer, arrival.bytes, arrival.receive_time};
         std::size_t changed = 0;
-        for (const steering::record_update& update : answer->updates) {
-            changed += apply_record_update(state, update, delivery);
+        for (steering::record_update& update : answer->updates) {
+            if (resolve_patches(state, update, arrival)) {
+                changed += apply_record_update(state, update, delivery);
+            }
         }
         publish_view(state, boot_now());
         if (changed > 0 && steering::is_domain_delegate(state.fleet, boot_now())) {
--- a/packages/edge/src/peer_codec.cpp
+++ b/packages/edge/src/peer_codec.cpp
@@ -21,7 +21,24 @@
 }
 auto peer_fields(const_or_mutable<record> auto& value)
 {
-    return std::tie(value.group, value.key, value.value, value.version, value.removed);
+    return std::tie(value.group, value.key, value.value, value.version, value.removed, value.patches);
+}
+auto peer_fields(const_or_mutable<patch_step> auto& value)
+{
+    return std::tie(value.inserted, value.offset, value.length);
+}
+auto peer_fields(const_or_mutable<text_patch> auto& value)
+{
+    return std::tie(value.base_checksum, value.result_checksum, value.result_bytes, value.steps,
+                    value.inserted);
+}
+auto peer_fields(const_or_mutable<record_patch> auto& value)
+{
+    return std::tie(value.base_version, value.version, value.change);
+}
+auto peer_fields(const_or_mutable<held_record> auto& value)
+{
+    return std::tie(value.group, value.key, value.version);
 }
 auto peer_fields(const_or_mutable<record_update> auto& value)
 {
@@ -114,6 +131,8 @@
 template <>
 constexpr std::size_t required_fields<instance_identity> = 8;
 template <>
+constexpr std::size_t required_fields<record> = 5;
+template <>
 constexpr std::size_t required_fields<instance_contact> = 6;
 template <>
 constexpr std::size_t required_fields<load_report> = 4;
@@ -257,13 +276,34 @@
     return add_length_prefix(buffer);
 }
 
+// Earlier builds read the first two values and ignore the third one.
+std::string encode_request(const records_request& request)
+{
+    msgpack::sbuffer buffer;
+    msgpack::packer<msgpack::sbuffer> out(buffer);
+    out.pack_array(3);
+    out.pack(static_cast<std::uint8_t>(message_type::records_request));
+    out.pack(request.positions);
+    out.pack(request.held);
+    return add_length_prefix(buffer);
+}
+
+records_request decode_request(const msgpack::object_array& parts)
+{
+    records_request request{parts.ptr[1].as<steering::record_positions>()};
+    if (parts.size > 2) {
+        request.held = parts.ptr[2].as<std::vector<steering::held_record>>();
+    }
+    return request;
+}
+
 peer_message decode_body(message_type type, const msgpack::object& body)
 {
     switch (type) {
     case message_type::status:
         return body.as<steering::instance_status>();
     case message_type::records_request:
-        return records_request{body.as<std::array<steering::record_position, steering::collection_count>>()};
+        break; // Has more parts than a body.
     case message_type::records_answer:
         return records_answer{body.as<std::vector<steering::record_update>>()};
     case message_type::summary:
@@ -330,7 +370,7 @@
         return encode(message_type::status, *status);
     }
     if (const auto* request = std::get_if<records_request>(&message)) {
-        return encode(message_type::records_request, request->positions);
+        return encode_request(*request);
     }
     if (const auto* answer = std::get_if<records_answer>(&message)) {
         return encode(message_type::records_answer, answer->updates);
@@ -364,6 +404,9 @@
         if (type >= message_type_count) {
             return fail<peer_message>(codec_fault::unknown_type);
         }
+        if (static_cast<message_type>(type) == message_type::records_request) {
+            return succeed<codec_fault>(peer_message(decode_request(outer.via.array)));
+        }
         return succeed<codec_fault>(decode_body(static_cast<message_type>(type), outer.via.array.ptr[1]));
     } catch (const std::exception&) {
         return fail<peer_message>(codec_fault::malformed);
--- a/packages/edge/src/peer_codec.hpp
+++ b/packages/edge/src/peer_codec.hpp
@@ -15,6 +15,8 @@
 /// Requests the records that changed after the sender's positions.
 struct records_request {
     std::array<steering::record_position, steering::collection_count> positions; ///< Of the sender's copies.
+    /// Large records that the sender has, of which it takes patches; empty in messages of earlier builds.
+    std::vector<steering::held_record> held{};
 };
 
 struct records_answer {
