Records: an instance that does not answer a request for the orders is passed over

An instance waited over three seconds for a configuration that others of its failure domain had: it asked the holder with the fastest link again and again for as long as that one was alive, and between failure domains only the first delegate. Statuses are small and pass where a large copy does not, or while its sender is suspended for a moment.

A source that has not answered in the expected time is remembered until the own copy is the newest; holders that answer are preferred to it, also slower ones, and the next delegate of the other failure domain is asked.

Evidence: 'records: a holder that does not answer in time is passed over for a slower one'; before, is_best_source had no argument that told of an unanswered request, so that the fast holder was the answer at each time of that test.

--- a/packages/decision/include/camphorknot/steering/fleet.hpp
+++ b/packages/decision/include/camphorknot/steering/fleet.hpp
@@ -205,7 +205,7 @@
 record_source source_of(const instance_identity& identity, const record_positions& positions);
 
 /// @return the other live instances of the own failure domain.
-std::vector<record_source> live_sources(const fleet& peers, time_point now);
+std::vector<record_source> live_sources(const fleet& peers, const record_requests& pending, time_point now);
 
 /// @return the summaries of the other failure domains that are alive.
 std::vector<const domain_summary*> live_summaries(const fleet& peers, time_point now);
--- a/packages/decision/include/camphorknot/steering/record_requests.hpp
+++ b/packages/decision/include/camphorknot/steering/record_requests.hpp
@@ -2,9 +2,11 @@
 /// Which collections an instance requests from a peer that has newer copies.
 ///
 /// Designed for a large configuration on the link of a small instance: the targets, which must be known
-/// within seconds when they leave, do not wait behind it, and it is not sent by several peers at once.
+/// within seconds when they leave, do not wait behind it, it is not sent by several peers at once, and a peer
+/// that does not answer is passed over.
 #pragma once
 
+#include <set>
 #include <span>
 
 #include "camphorknot/steering/record_replica.hpp"
@@ -25,8 +27,14 @@
     unsigned orders_request_count = 0; ///< Requests for the orders since the own copy is older.
     /// A patch could not be applied, so that the next request asks for whole records.
     bool needs_whole_records = false;
+    /// Names of the instances that did not answer in time since the own copy is older.
+    std::set<std::string> unanswering{};
 };
 
+/// @return whether the instance @p name was asked for the orders and has not answered in time, so that others
+/// are preferred.
+bool is_unanswering(const record_requests& pending, const std::string& name, time_point now);
+
 /// Time for which a newer copy of the orders has been known; zero if the own one is the newest.
 duration orders_behind_for(const record_requests& pending, time_point now);
 
@@ -35,11 +43,12 @@
     std::uint32_t link_mbps = 0;
     std::uint64_t rank = 0; ///< Order of instances with equal links; the highest comes first.
     record_position orders{};
+    bool answers = true; ///< Not is_unanswering.
 };
 
-/// Whether the orders are to be requested from @p peer. Of the instances that have a newer copy the one with
-/// the fastest link is asked. If a faster one lacks it too, that one asks first and is waited for, for a
-/// limited time: it may be cut off.
+/// Whether the orders are to be requested from @p peer. Of the instances that have a newer copy and answer,
+/// the one with the fastest link is asked. If a faster one lacks it too, that one asks first and is waited
+/// for, for a limited time: it may be cut off.
 /// @param others the other live instances, @p peer among them.
 /// @param faster_behind_for time for which faster instances have been behind.
 bool is_best_source(const record_source& peer, std::span<const record_source> others,
@@ -70,9 +79,10 @@
                                                  bool is_orders_source, time_point now);
 
 /// Counts the collections of a message from select_requests as requested.
-/// @param link_mbps of the peer that is asked; zero if unknown.
+/// @param source name of the instance that is asked.
+/// @param link_mbps of that instance; zero if unknown.
 void on_requested(record_requests& pending, const record_replica& replica, const requested_positions& message,
-                  std::uint32_t link_mbps, time_point now);
+                  const std::string& source, std::uint32_t link_mbps, time_point now);
 
 /// Counts the collections in a peer's answer as answered; an empty answer ends all requests.
 void on_answered(record_requests& pending, std::span<const record_update> updates);
--- a/packages/decision/src/steering/fleet.cpp
+++ b/packages/decision/src/steering/fleet.cpp
@@ -169,11 +169,12 @@
             positions.at(static_cast<std::size_t>(collection::orders))};
 }
 
-std::vector<record_source> live_sources(const fleet& peers, time_point now)
+std::vector<record_source> live_sources(const fleet& peers, const record_requests& pending, time_point now)
 {
     std::vector<record_source> sources;
     for (const instance_status* status : live_statuses(peers, now)) {
         sources.push_back(source_of(status->identity, status->positions));
+        sources.back().answers = !is_unanswering(pending, status->identity.name, now);
     }
     return sources;
 }
--- a/packages/decision/src/steering/record_requests.cpp
+++ b/packages/decision/src/steering/record_requests.cpp
@@ -52,7 +52,11 @@
 {
     const auto is_faster = [&](const record_source& other) { return other.link_mbps > peer.link_mbps; };
     const bool has_faster_holder = std::ranges::any_of(others, [&](const record_source& other) {
-        return is_faster(other) && has_newer_copy(other, own) && other.orders.version >= peer.orders.version;
+        return other.answers && is_faster(other) && has_newer_copy(other, own) &&
+               other.orders.version >= peer.orders.version;
+    });
+    const bool is_passed_over = !peer.answers && std::ranges::any_of(others, [&](const record_source& other) {
+        return other.answers && has_newer_copy(other, own) && other.orders.version >= peer.orders.version;
     });
     const bool has_faster_requester = std::ranges::any_of(others, [&](const record_source& other) {
         return is_faster(other) && other.orders.version < peer.orders.version && precedes(other, own);
@@ -60,7 +64,7 @@
     const bool brings_new_version = peer.orders.version > own.orders.version;
     const bool must_wait =
         brings_new_version && has_faster_requester && faster_behind_for < give_up_waiting_after(own);
-    return !has_faster_holder && !must_wait;
+    return !has_faster_holder && !is_passed_over && !must_wait;
 }
 
 duration expected_answer_time(const record_replica& replica, collection group, std::uint32_t link_mbps)
@@ -80,6 +84,13 @@
                                                                  std::chrono::duration<double>(seconds)));
 }
 
+bool is_unanswering(const record_requests& pending, const std::string& name, time_point now)
+{
+    const time_point retry_at = pending.retry_at.at(static_cast<std::size_t>(collection::orders));
+    const bool is_overdue = retry_at != time_point{} && now >= retry_at && name == pending.orders_source;
+    return is_overdue || pending.unanswering.contains(name);
+}
+
 duration orders_behind_for(const record_requests& pending, time_point now)
 {
     return pending.own_behind_since == time_point{} ? duration{} : now - pending.own_behind_since;
@@ -95,6 +106,7 @@
     update_since(pending.own_behind_since, pending.announced_orders > own.orders.version);
     if (pending.own_behind_since == time_point{}) {
         pending.orders_request_count = 0;
+        pending.unanswering.clear();
     }
     if (peer.orders.version >= pending.announced_orders) {
         update_since(pending.faster_behind_since, std::ranges::any_of(others, [&](const auto& other) {
@@ -131,13 +143,18 @@
 }
 
 void on_requested(record_requests& pending, const record_replica& replica, const requested_positions& message,
-                  std::uint32_t link_mbps, time_point now)
+                  const std::string& source, std::uint32_t link_mbps, time_point now)
 {
     for (std::size_t index = 0; index < collection_count; ++index) {
         if (message.at(index).as_of_s != not_requested) {
+            const bool is_orders = static_cast<collection>(index) == collection::orders;
+            if (is_orders && is_unanswering(pending, pending.orders_source, now)) {
+                pending.unanswering.insert(pending.orders_source);
+            }
             pending.retry_at.at(index) =
                 now + expected_answer_time(replica, static_cast<collection>(index), link_mbps);
-            if (static_cast<collection>(index) == collection::orders) {
+            if (is_orders) {
+                pending.orders_source = source;
                 pending.orders_requested_at = now;
                 ++pending.orders_request_count;
             }
--- a/packages/decision/tests/steering_records_test.cpp
+++ b/packages/decision/tests/steering_records_test.cpp
@@ -126,7 +126,7 @@
     CHECK(first.front().at(index_of(collection::orders)).as_of_s > 1e9);
     CHECK(first.back().at(index_of(collection::orders)).as_of_s < 0);
     for (const auto& message : first) {
-        on_requested(pending, replica, message, 0, start);
+        on_requested(pending, replica, message, "edge-1", 0, start);
     }
     CHECK(select_requests(replica, pending, peer, true, start + 1s).empty());
     const std::vector<record_update> answer = {{collection::targets, true, {}, {6, 10}}};
@@ -208,6 +208,48 @@
     CHECK(*asked_after_ms.rbegin() <= 1000);
 }
 
+// Guards against an instance that asks the fastest holder again and again, while that one does not answer.
+TEST_CASE("records: a holder that does not answer in time is passed over for a slower one")
+{
+    record_replica replica;
+    record_requests pending;
+    const time_point start{1000s};
+    const record_source own = make_source(20, 4, 40);
+    const auto sources_at = [&](time_point now) {
+        std::vector<record_source> sources = {make_source(200, 2, 44), make_source(20, 1, 44)};
+        sources.at(0).answers = !is_unanswering(pending, "fast", now);
+        sources.at(1).answers = !is_unanswering(pending, "slow", now);
+        return sources;
+    };
+    const auto is_asked = [&](std::size_t index, time_point now) {
+        const auto sources = sources_at(now);
+        return is_best_source(sources.at(index), sources, own, 0ms);
+    };
+    const auto ask = [&](const std::string& name, time_point now) {
+        requested_positions message;
+        message.fill({0, 1e300});
+        message.at(static_cast<std::size_t>(collection::orders)) = {40, 40};
+        on_orders_announced(pending, own, sources_at(now).front(), sources_at(now), now);
+        on_requested(pending, replica, message, name, 200, now);
+    };
+    CHECK(is_asked(0, start));
+    CHECK_FALSE(is_asked(1, start));
+    ask("fast", start);
+    CHECK_FALSE(is_asked(1, start + 1s));
+    CHECK(is_asked(1, start + 2s));
+    CHECK_FALSE(is_asked(0, start + 2s));
+    ask("slow", start + 2s);
+    CHECK_FALSE(is_asked(0, start + 3s));
+    // If no holder answers, the fastest is asked again.
+    CHECK(is_asked(0, start + 4s));
+    // Once the copy has arrived, all are equal again.
+    on_answered(pending, std::vector<record_update>{{collection::orders, false, {}, {44, 44}}});
+    on_orders_announced(pending, make_source(20, 4, 44), sources_at(start).front(), sources_at(start),
+                        start + 4s);
+    CHECK(is_asked(0, start + 5s));
+    CHECK_FALSE(is_asked(1, start + 5s));
+}
+
 TEST_CASE("records: another source is asked when the copy takes longer than its size explains")
 {
     record_replica replica;
--- a/packages/edge/src/control_fleet.cpp
+++ b/packages/edge/src/control_fleet.cpp
@@ -62,11 +62,9 @@
     for (const steering::requested_positions& message :
          steering::select_requests(state.replica, state.pending_requests, positions, is_orders_source, now)) {
         if (send_to(*state.peers, peer.peer_address, encode_frame(records_request{message, held}))) {
-            steering::on_requested(state.pending_requests, state.replica, message, peer.link_mbps, now);
+            steering::on_requested(state.pending_requests, state.replica, message, peer.name, peer.link_mbps,
+                                   now);
             log_configuration_request(state, peer, positions, message);
-            if (is_orders_source) {
-                state.pending_requests.orders_source = peer.name;
-            }
         }
     }
 }
@@ -89,8 +87,9 @@
     identity.name = peer.name;
     identity.link_mbps = peer.link_mbps;
     steering::record_requests& pending = state.pending_requests;
-    const steering::record_source source = steering::source_of(identity, positions);
-    const std::vector<steering::record_source> others = steering::live_sources(state.fleet, now);
+    steering::record_source source = steering::source_of(identity, positions);
+    source.answers = !steering::is_unanswering(pending, peer.name, now);
+    const std::vector<steering::record_source> others = steering::live_sources(state.fleet, pending, now);
     steering::on_orders_announced(pending, own, source, others, now);
     const auto time_since = [now](time_point since) {
         return since == time_point{} ? duration{} : now - since;
@@ -207,7 +206,11 @@
     const bool should_request =
         steering::is_domain_delegate(state.fleet, now) && (same_region || records_are_stale(state, now));
     if (should_request && !delegates.empty()) {
-        request_records(state, delegates.front(), positions, true);
+        const auto answering = std::ranges::find_if(delegates, [&](const auto& delegate) {
+            return !steering::is_unanswering(state.pending_requests, delegate.name, now);
+        });
+        request_records(state, answering == delegates.end() ? delegates.front() : *answering, positions,
+                        true);
     }
 }
 
