Peer links: a large frame on its way has four seconds to be acknowledged

A whole configuration that waited for over a second in a slow link, or for a receiver that got no processor time, ended its link by TCP_USER_TIMEOUT and was sent again from its first byte, up to two seconds later.

--- a/packages/edge/src/peer_network.cpp
+++ b/packages/edge/src/peer_network.cpp
@@ -24,6 +24,9 @@
 // A link is closed when sent bytes stay unacknowledged for this long; statuses are sent several times a
 // second.
 constexpr duration unacknowledged_limit = std::chrono::milliseconds(1000);
+// The limit while a large frame is on its way: it may wait behind others in a slow link, or for a receiver
+// that gets little processor time, and would start from zero on a new link.
+constexpr duration large_unacknowledged_limit = std::chrono::milliseconds(4000);
 // Queued frames per link. More are dropped: a later status supersedes the dropped ones.
 constexpr std::size_t max_queued_frames = 8;
 // A frame up to this size is not counted while it is received.
@@ -36,6 +39,7 @@
     tcp::socket socket;
     std::deque<std::shared_ptr<const std::string>> queue;
     bool writing = false;
+    bool has_large_limit = false;      // large_unacknowledged_limit is set.
     std::string peer;                  // Remote address.
     boost::system::error_code failure; // The first error that ended it.
     counted_connection_handle counted; // Null on links that this instance opened.
@@ -128,6 +132,16 @@
     }
 }
 
+void adjust_unacknowledged_limit(peer_connection& connection, std::size_t next_bytes)
+{
+    const bool is_large = next_bytes + unacknowledged_bytes(connection.socket) > small_frame_bytes;
+    if (is_large != connection.has_large_limit) {
+        connection.has_large_limit = is_large;
+        set_unacknowledged_limit(connection.socket,
+                                 is_large ? large_unacknowledged_limit : unacknowledged_limit);
+    }
+}
+
 void write_next(const peer_connection_handle& connection)
 {
     connection->writing = !connection->queue.empty();
@@ -135,6 +149,7 @@
         return;
     }
     const auto frame = connection->queue.front();
+    adjust_unacknowledged_limit(*connection, frame->size());
     asio::async_write(connection->socket, asio::buffer(*frame),
                       [connection, frame](boost::system::error_code error, std::size_t) {
                           connection->queue.pop_front();
--- a/packages/edge/src/sockets.cpp
+++ b/packages/edge/src/sockets.cpp
@@ -18,13 +18,18 @@
     return {error ? asio::ip::address() : ip, address.port};
 }
 
+void set_unacknowledged_limit(tcp::socket& socket, duration limit)
+{
+    const auto ms =
+        static_cast<unsigned>(std::chrono::duration_cast<std::chrono::milliseconds>(limit).count());
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
+}
+
 void set_tcp_options(tcp::socket& socket, duration unacknowledged_limit)
 {
     boost::system::error_code ignored; // Without the option the socket works, but sends small messages later.
     socket.set_option(tcp::no_delay(true), ignored);
-    const auto ms = static_cast<unsigned>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(unacknowledged_limit).count());
-    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
+    set_unacknowledged_limit(socket, unacknowledged_limit);
 }
 
 socket_state peek(tcp::socket& socket)
@@ -38,10 +43,16 @@
     return would_block ? socket_state::quiet : socket_state::closed;
 }
 
-bool has_unacknowledged(tcp::socket& socket)
+std::size_t unacknowledged_bytes(tcp::socket& socket)
 {
     int bytes = 0;
-    return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+    const bool is_known = ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+    return is_known ? static_cast<std::size_t>(bytes) : 0;
+}
+
+bool has_unacknowledged(tcp::socket& socket)
+{
+    return unacknowledged_bytes(socket) > 0;
 }
 
 void abort_connection(tcp::socket& socket)
--- a/packages/edge/src/sockets.hpp
+++ b/packages/edge/src/sockets.hpp
@@ -20,6 +20,11 @@
 /// Inspects a socket without consuming bytes.
 socket_state peek(boost::asio::ip::tcp::socket& socket);
 
+/// Sets TCP_USER_TIMEOUT, see set_tcp_options.
+void set_unacknowledged_limit(boost::asio::ip::tcp::socket& socket, duration limit);
+
+/// @return number of written bytes that the peer's system has not acknowledged; 0 if it is unknown.
+std::size_t unacknowledged_bytes(boost::asio::ip::tcp::socket& socket);
 /// @return whether bytes that were written have not been acknowledged by the peer's system.
 bool has_unacknowledged(boost::asio::ip::tcp::socket& socket);
 
