--- a/tools/fleet_load/main.cpp
+++ b/tools/fleet_load/main.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <filesystem>
 #include <gflags/gflags.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include "report.hpp"
@@ -150,6 +151,16 @@
     return passed;
 }
 
+// Each link between instances takes two sockets of its relay.
+bool has_descriptors_for_relays()
+{
+    constexpr std::uint64_t other_descriptors = 2000;
+    rlimit limit{};
+    const std::uint64_t domains = FLAGS_domains * regions.size();
+    const std::uint64_t links = FLAGS_instances * (FLAGS_instances / domains + domains);
+    return getrlimit(RLIMIT_NOFILE, &limit) == 0 && 2 * links + other_descriptors <= limit.rlim_cur;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -166,6 +177,10 @@
                      "26; --links goes with --storms\n");
         return 2;
     }
+    if (FLAGS_links && !has_descriptors_for_relays()) {
+        std::fprintf(stderr, "too many links for this process's descriptors; use more domains\n");
+        return 2;
+    }
     const bool passed = FLAGS_storms ? play_storms() : play();
     return passed ? 0 : 1;
 }
--- a/tools/fleet_load/storm.hpp
+++ b/tools/fleet_load/storm.hpp
@@ -29,7 +29,7 @@
     std::vector<std::unique_ptr<link_relay>> relays; ///< One an instance; empty without limited links.
     std::thread relay_thread;
     seconds longest_relay_delay{}; ///< Of the thread of the relays; read after the run.
-    bool asks = true; ///< Callers send requests.
+    bool asks = true;              ///< Callers send requests.
     int next_key = 1;
     int changes = 0;
     double processor_time_s = 0;      ///< Of the processes that have ended.
