--- a/packages/decision/src/steering/record_replica.cpp
+++ b/packages/decision/src/steering/record_replica.cpp
@@ -291,6 +291,9 @@
         }
         const auto present = group_records.records.find(entry.key);
         if (present != group_records.records.end() && present->second.version >= entry.version) {
+            if (present->second.removed) {
+                return patch_fault::other_base;
+            }
             entry = present->second;
             continue;
         }
--- a/packages/decision/tests/steering_text_patch_test.cpp
+++ b/packages/decision/tests/steering_text_patch_test.cpp
@@ -181,6 +181,10 @@
     const std::vector<held_record> held = {{collection::orders, "config", 1}};
     record_update update = changes_since(source, collection::orders, {1, 1}, held);
     CHECK(resolve_patches(record_replica(), update) == patch_fault::other_base);
+    record_replica removed;
+    apply_update(removed, large_update(make_text(items, 1), 1));
+    apply_update(removed, {collection::orders, false, {{collection::orders, "config", "", 3, true}}, {3, 3}});
+    CHECK(resolve_patches(removed, update) == patch_fault::other_base);
     record_replica other;
     apply_update(other, large_update(make_text(make_items(999), 1), 1));
     CHECK(resolve_patches(other, update) == patch_fault::other_base);
--- a/tools/fleet_load/link_relay.cpp
+++ b/tools/fleet_load/link_relay.cpp
@@ -16,7 +16,7 @@
 using clock = std::chrono::steady_clock;
 
 // Bytes of one connection that the relay holds; the rest waits at the sender, as behind a full queue.
-constexpr std::size_t chunk_bytes = 8 * 1024;
+constexpr std::size_t chunk_bytes = std::size_t{8} * 1024;
 constexpr int socket_buffer_bytes = 16 * 1024;
 
 using socket_handle = std::shared_ptr<tcp::socket>;
