--- a/tools/fleet_load/storm.cpp
+++ b/tools/fleet_load/storm.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core.hpp>
 #include <csignal>
 #include <limits>
+#include <span>
 #include <sys/wait.h>
 
 #include "standins/caller_standin.hpp"
@@ -170,6 +171,15 @@
     }
 }
 
+// Hands the running process to the limiter, which also holds those that are suspended.
+void limit_processor(storm_state& storm, const instance_process& instance)
+{
+    const double share = storm.options.limits_processors
+                             ? profile_of(storm.run.fleet, instance).processor_share
+                             : std::numeric_limits<double>::infinity();
+    add_process(storm.limiter, instance.lives.back().pid, share);
+}
+
 // Reaps and restarts processes, and hands new ones to the limiter.
 void watch(storm_state& storm)
 {
@@ -190,10 +200,7 @@
             reap(instance);
             if (storm.run.running) {
                 start_process(storm.run.fleet, instance);
-                add_process(storm.limiter, instance.lives.back().pid,
-                            storm.options.limits_processors
-                                ? profile_of(storm.run.fleet, instance).processor_share
-                                : std::numeric_limits<double>::infinity());
+                limit_processor(storm, instance);
             }
         }
     }
@@ -324,6 +331,66 @@
     }
 }
 
+void print_figures(const storm_state& storm, std::span<const double> ages)
+{
+    std::map<unsigned, int> statuses;
+    for (const observation& seen : storm.observations) {
+        ++statuses[seen.status];
+    }
+    std::printf("%zu requests:", storm.observations.size());
+    for (const auto& [status, count] : statuses) {
+        std::printf(" %u %d,", status, count);
+    }
+    std::printf("\n%d changes;", storm.changes);
+    for (const auto& [name, count] : storm.run.events) {
+        std::printf(" %s %d,", name.c_str(), count);
+    }
+    const auto at_share = [&](double share) {
+        return ages.empty() ? 0.0
+                            : ages[static_cast<std::size_t>(share * static_cast<double>(ages.size() - 1))];
+    };
+    std::printf(
+        "\nolder answers %zu, asked after the acknowledgement by: half %.2f s, 99%% %.2f s, all %.2f s\n",
+        ages.size(), at_share(0.5), at_share(0.99), at_share(1));
+    const auto instances = static_cast<double>(storm.run.fleet.instances.size());
+    const auto changes = static_cast<double>(std::max(storm.changes, 1));
+    std::printf(
+        "from the first storm on: processor time %.2f s an instance (%.1f ms a change), between instances "
+        "%.1f MB\n",
+        storm.processor_time_s / instances, 1000 * storm.processor_time_s / instances / changes,
+        static_cast<double>(peer_bytes(storm) - storm.warm_peer_bytes) / 1e6);
+    double longest_delay_s = 0;
+    for (const stall& delay : storm.run.observer_delays) {
+        longest_delay_s = std::max(longest_delay_s, seconds(delay.to - delay.from).count());
+    }
+    std::printf("this program ran late %zu times, at most %.3f s; its relays at most %.3f s\n",
+                storm.run.observer_delays.size(), longest_delay_s, storm.longest_relay_delay.count());
+}
+
+void print_findings(const storm_state& storm, std::span<const configuration_finding> findings)
+{
+    std::map<std::string, std::pair<int, double>> faults;
+    for (const configuration_finding& found : findings) {
+        auto& [count, worst_s] = faults[std::string(name_of(found.fault))];
+        ++count;
+        worst_s = std::max(worst_s, found.age_s);
+    }
+    for (const auto& [name, figures] : faults) {
+        std::printf("broken: %s %d, worst %.2f s\n", name.c_str(), figures.first, figures.second);
+    }
+    constexpr std::size_t max_printed = 20;
+    for (std::size_t index = 0; index < std::min(findings.size(), max_printed); ++index) {
+        const configuration_finding& found = findings[index];
+        if (found.seen != nullptr) {
+            std::printf(
+                "  %s %s %s at %.2f s, age %.2f s, status %u\n", std::string(name_of(found.fault)).c_str(),
+                storm.run.fleet.instances.at(found.seen->instance).name.c_str(),
+                storm.subjects.at(found.seen->subject).name.c_str(),
+                seconds(found.seen->sent - storm.run.started).count(), found.age_s, found.seen->status);
+        }
+    }
+}
+
 } // namespace
 
 void set_up_storms(storm_state& storm)
@@ -351,9 +418,7 @@
 void schedule_storms(storm_state& storm)
 {
     for (const instance_process& instance : storm.run.fleet.instances) {
-        add_process(storm.limiter, instance.lives.back().pid,
-                    storm.options.limits_processors ? profile_of(storm.run.fleet, instance).processor_share
-                                                    : std::numeric_limits<double>::infinity());
+        limit_processor(storm, instance);
     }
     start(storm.limiter);
     watch(storm);
@@ -387,58 +452,8 @@
     const configuration_bounds bounds{seconds(config_apply).count(), 0.25};
     const auto findings = judge_observations(storm.subjects, storm.observations, bounds);
     const auto ages = ages_of_older_answers(storm.subjects, storm.observations);
-    std::map<unsigned, int> statuses;
-    for (const observation& seen : storm.observations) {
-        ++statuses[seen.status];
-    }
-    std::printf("%zu requests:", storm.observations.size());
-    for (const auto& [status, count] : statuses) {
-        std::printf(" %u %d,", status, count);
-    }
-    std::printf("\n%d changes;", storm.changes);
-    for (const auto& [name, count] : storm.run.events) {
-        std::printf(" %s %d,", name.c_str(), count);
-    }
-    const auto at_share = [&](double share) {
-        return ages.empty() ? 0.0
-                            : ages.at(static_cast<std::size_t>(share * static_cast<double>(ages.size() - 1)));
-    };
-    std::printf(
-        "\nolder answers %zu, asked after the acknowledgement by: half %.2f s, 99%% %.2f s, all %.2f s\n",
-        ages.size(), at_share(0.5), at_share(0.99), at_share(1));
-    const auto instances = static_cast<double>(storm.run.fleet.instances.size());
-    const auto changes = static_cast<double>(std::max(storm.changes, 1));
-    std::printf(
-        "from the first storm on: processor time %.2f s an instance (%.1f ms a change), between instances "
-        "%.1f MB\n",
-        storm.processor_time_s / instances, 1000 * storm.processor_time_s / instances / changes,
-        static_cast<double>(peer_bytes(storm) - storm.warm_peer_bytes) / 1e6);
-    double longest_delay_s = 0;
-    for (const stall& delay : storm.run.observer_delays) {
-        longest_delay_s = std::max(longest_delay_s, seconds(delay.to - delay.from).count());
-    }
-    std::printf("this program ran late %zu times, at most %.3f s; its relays at most %.3f s\n",
-                storm.run.observer_delays.size(), longest_delay_s, storm.longest_relay_delay.count());
-    std::map<std::string, std::pair<int, double>> faults;
-    for (const configuration_finding& found : findings) {
-        auto& [count, worst_s] = faults[std::string(name_of(found.fault))];
-        ++count;
-        worst_s = std::max(worst_s, found.age_s);
-    }
-    for (const auto& [name, figures] : faults) {
-        std::printf("broken: %s %d, worst %.2f s\n", name.c_str(), figures.first, figures.second);
-    }
-    constexpr std::size_t max_printed = 20;
-    for (std::size_t index = 0; index < std::min(findings.size(), max_printed); ++index) {
-        const configuration_finding& found = findings.at(index);
-        if (found.seen != nullptr) {
-            std::printf(
-                "  %s %s %s at %.2f s, age %.2f s, status %u\n", std::string(name_of(found.fault)).c_str(),
-                storm.run.fleet.instances.at(found.seen->instance).name.c_str(),
-                storm.subjects.at(found.seen->subject).name.c_str(),
-                seconds(found.seen->sent - storm.run.started).count(), found.age_s, found.seen->status);
-        }
-    }
+    print_figures(storm, ages);
+    print_findings(storm, findings);
     return findings.empty();
 }
 
