Records: after a patch that does not fit the whole record is requested

After the store returned from an old copy, two instances may have other contents under one version (what is known to be newer is kept under the copy's version). A patch based on that version has another base checksum, and the request was repeated with the same versions for ever, so that the instance kept its old configuration. Any patch that was not applied leads to a request for the whole record now. Found by reading.

--- a/packages/decision/include/camphorknot/steering/record_requests.hpp
+++ b/packages/decision/include/camphorknot/steering/record_requests.hpp
@@ -25,7 +25,7 @@
     std::string orders_source{};       ///< Name of the instance that was asked last for the orders.
     time_point orders_requested_at{};  ///< When it was asked; zero if none was.
     unsigned orders_request_count = 0; ///< Requests for the orders since the own copy is older.
-    /// A patch could not be applied, so that the next request asks for whole records.
+    /// A patch of the orders could not be applied, so that the next request asks for whole records.
     bool needs_whole_records = false;
     /// Names of the instances that did not answer in time since the own copy is older.
     std::set<std::string> unanswering{};
@@ -84,6 +84,11 @@
 void on_requested(record_requests& pending, const record_replica& replica, const requested_positions& message,
                   const std::string& source, std::uint32_t link_mbps, time_point now);
 
+/// Stores whether the patches in a peer's answer could be applied. After a failure the next request asks for
+/// whole records: instances may have other contents under one version after the store returned from an old
+/// copy.
+void on_patches_resolved(record_requests& pending, collection group, patch_fault fault);
+
 /// Counts the collections in a peer's answer as answered; an empty answer ends all requests.
 void on_answered(record_requests& pending, std::span<const record_update> updates);
 
--- a/packages/decision/src/steering/record_requests.cpp
+++ b/packages/decision/src/steering/record_requests.cpp
@@ -162,6 +162,13 @@
     }
 }
 
+void on_patches_resolved(record_requests& pending, collection group, patch_fault fault)
+{
+    if (group == collection::orders) {
+        pending.needs_whole_records = fault != patch_fault::none;
+    }
+}
+
 void on_answered(record_requests& pending, std::span<const record_update> updates)
 {
     if (updates.empty()) {
--- a/packages/decision/tests/steering_text_patch_test.cpp
+++ b/packages/decision/tests/steering_text_patch_test.cpp
@@ -171,6 +171,30 @@
     CHECK(value_of(peer) == make_text(items, 5));
 }
 
+// Guards against an instance that never gets a configuration: its content under a version differs from that
+// of its peers, as after the store returned from an old copy, and no patch fits.
+TEST_CASE("records: after a patch that does not fit the whole record is requested")
+{
+    record_replica source;
+    record_replica peer;
+    const std::vector<std::string> items = make_items(1000);
+    for (const std::uint64_t version : {1U, 2U}) {
+        apply_update(source, large_update(make_text(items, static_cast<int>(version)), version));
+    }
+    apply_update(peer, large_update(make_text(make_items(999), 1), 1));
+    record_requests pending;
+    record_update patched = changes_since(source, collection::orders, {1, 1}, large_records(peer));
+    on_patches_resolved(pending, collection::orders, resolve_patches(peer, patched));
+    REQUIRE(pending.needs_whole_records);
+    record_update whole = changes_since(source, collection::orders, {1, 1});
+    on_patches_resolved(pending, collection::targets, patch_fault::none);
+    CHECK(pending.needs_whole_records);
+    on_patches_resolved(pending, collection::orders, resolve_patches(peer, whole));
+    CHECK_FALSE(pending.needs_whole_records);
+    apply_update(peer, whole);
+    CHECK(value_of(peer) == value_of(source));
+}
+
 TEST_CASE("records: a patch without its base is refused")
 {
     record_replica source;
--- a/packages/edge/src/control_fleet.cpp
+++ b/packages/edge/src/control_fleet.cpp
@@ -123,13 +123,11 @@
     return answer;
 }
 
-// Returns whether the update can be applied. After a malformed patch the whole records are requested next.
+// Returns whether the update can be applied.
 bool resolve_patches(control_state& state, steering::record_update& update, const frame_arrival& arrival)
 {
     const steering::patch_fault fault = steering::resolve_patches(state.replica, update);
-    if (update.group == steering::collection::orders) {
-        state.pending_requests.needs_whole_records = fault == steering::patch_fault::malformed;
-    }
+    steering::on_patches_resolved(state.pending_requests, update.group, fault);
     if (fault != steering::patch_fault::none) {
         counter(state.metric_registry, "camphorknot_refused_patches_total", "")
             .fetch_add(1, std::memory_order_relaxed);
